--- /dev/null
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/admin/package-info.java
@@ -0,0 +1,5 @@
+/** Administration API. */
+@NullMarked
+package org.cowsliplatch.internal.admin;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/RunningEntry.java
@@ -0,0 +1,490 @@
+package org.cowsliplatch.internal.entry;
+
+import java.net.InetSocketAddress;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.LongSupplier;
+import org.cowsliplatch.errors.EntryStartException;
+import org.cowsliplatch.errors.TableException;
+import org.cowsliplatch.internal.admin.AdminActions;
+import org.cowsliplatch.internal.admin.AdminHandler;
+import org.cowsliplatch.internal.limit.RetryBudgets;
+import org.cowsliplatch.internal.limit.SlotBroker;
+import org.cowsliplatch.internal.member.Member;
+import org.cowsliplatch.internal.member.Membership;
+import org.cowsliplatch.internal.once.KeyDesk;
+import org.cowsliplatch.internal.once.KeyIssuer;
+import org.cowsliplatch.internal.once.StoreClaims;
+import org.cowsliplatch.internal.peer.PeerListener;
+import org.cowsliplatch.internal.peer.PeerMessage;
+import org.cowsliplatch.internal.peer.PeerTransport;
+import org.cowsliplatch.internal.platform.BudgetedTableService;
+import org.cowsliplatch.internal.proxy.BackendClient;
+import org.cowsliplatch.internal.proxy.CallerHandler;
+import org.cowsliplatch.internal.proxy.EntryContext;
+import org.cowsliplatch.internal.steer.EntryLookup;
+import org.cowsliplatch.internal.steer.InstanceFollower;
+import org.cowsliplatch.internal.steer.RegionChooser;
+import org.cowsliplatch.internal.steer.ViewKeeper;
+import org.cowsliplatch.internal.table.TableEdit;
+import org.cowsliplatch.internal.table.TableEditor;
+import org.cowsliplatch.internal.table.TableFollower;
+import org.cowsliplatch.internal.table.TableHead;
+import org.cowsliplatch.internal.table.TableLog;
+import org.cowsliplatch.internal.table.TableReader;
+import org.cowsliplatch.internal.table.TableSync;
+import org.cowsliplatch.internal.telemetry.Metrics;
+import org.cowsliplatch.internal.telemetry.SpanRing;
+import org.cowsliplatch.internal.telemetry.Tracing;
+import org.cowsliplatch.internal.util.Addresses;
+import org.cowsliplatch.internal.util.Ticker;
+import org.cowsliplatch.internal.util.TokenBucket;
+import org.cowsliplatch.platform.PlatformServices;
+import org.cowsliplatch.platform.TableService;
+import org.cowsliplatch.settings.Settings;
+import org.cowsliplatch.table.TableChange;
+import org.cowsliplatch.table.TableVersion;
+import org.jboss.logging.Logger;
+
+/** All parts of an entry instance, wired together and driven by its threads. */
+public final class RunningEntry implements AdminActions, PeerListener, AutoCloseable {
+    private static final Logger LOG = Logger.getLogger(RunningEntry.class);
+    private static final long SLOT_TICK_MS = 5;
+    private static final long HEARTBEAT_MS = 800;
+    private static final long KEY_SWEEP_MS = 30_000;
+    private static final long FORWARD_TIMEOUT_MS = 10_000;
+    private static final int SECRET_BYTES = 32;
+    private static final int PLATFORM_THREADS = 4;
+    private static final Duration READY_GRACE = Duration.ofSeconds(2);
+    private static final double READS_PER_SECOND = 20;
+    private static final double WRITES_PER_SECOND = 10;
+    private static final double KEY_WRITES_PER_SECOND = 10;
+    private static final double BURST = 60;
+
+    private final Settings settings;
+    private final Ticker ticker = Ticker.system();
+    private final String incarnation;
+    private final Metrics metrics = new Metrics();
+    private final Tracing tracing;
+    private final TableLog log;
+    private final TableReader reader;
+    private final TableEditor editor;
+    private final TableFollower tableFollower;
+    private final TableSync tableSync;
+    private final InstanceFollower instanceFollower;
+    private final ViewKeeper views;
+    private final Membership membership;
+    private final SlotBroker broker;
+    private final KeyDesk keys;
+    private final BackendClient client = new BackendClient();
+    private final PeerTransport transport;
+    private final CallerHandler callerHandler;
+    private final PlannedStop plannedStop;
+    private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(2);
+    private final ScheduledExecutorService blocking = Executors.newScheduledThreadPool(PLATFORM_THREADS);
+    private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+    private final AtomicBoolean closed = new AtomicBoolean();
+    private final long startNanos;
+    private volatile boolean leaving;
+    private volatile InetSocketAddress callerAddress;
+    private volatile InetSocketAddress peerAddress;
+    private volatile InetSocketAddress adminAddress;
+    private final List<HttpListener> listeners = new ArrayList<>();
+
+    private RunningEntry(Settings settings, PlatformServices platform) {
+        this.settings = settings;
+        this.startNanos = ticker.nanos();
+        this.incarnation = HexFormat.of().toHexDigits(new SecureRandom().nextLong());
+        this.callerAddress = settings.listen().caller();
+        this.peerAddress = settings.listen().peer();
+        this.adminAddress = settings.listen().admin();
+        this.tracing = new Tracing(settings.instance(), settings.telemetry().otlp());
+        SplittableRandom random = new SplittableRandom(new SecureRandom().nextLong());
+        this.membership = new Membership(settings.instance(), ticker);
+        this.transport = new PeerTransport(this::self, ticker, this);
+        this.broker = new SlotBroker(settings.instance(), settings.zone(), ticker, random.split(), transport);
+        this.views = new ViewKeeper(broker::view);
+        this.log = new TableLog(this::onTables);
+        TableService tableRows = budgeted(platform.tables(), "tables", WRITES_PER_SECOND);
+        this.reader = new TableReader(tableRows, platform.objects());
+        this.editor = new TableEditor(tableRows, platform.objects(), InstantSource.system());
+        this.tableFollower = new TableFollower(reader, log, random.split());
+        this.tableSync = new TableSync(log, transport, () -> metrics.alarm("table-regression"));
+        this.instanceFollower =
+                new InstanceFollower(platform.instances(), settings.platform().entryService(), views, random.split());
+        this.keys = keyDesk(budgeted(platform.tables(), "keys", KEY_WRITES_PER_SECOND));
+        EntryContext context = context();
+        this.callerHandler = new CallerHandler(context);
+        this.plannedStop = new PlannedStop(settings.limits(), ticker, keys, transport, membership, callerHandler);
+        gauges();
+    }
+
+    /**
+     * Starts an entry instance.
+     *
+     * @throws EntryStartException if a listener can't be bound
+     */
+    public static RunningEntry start(Settings settings, PlatformServices platform) throws EntryStartException {
+        RunningEntry entry = new RunningEntry(settings, platform);
+        try {
+            entry.open();
+        } catch (EntryStartException e) {
+            entry.close();
+            throw e;
+        }
+        return entry;
+    }
+
+    private void open() throws EntryStartException {
+        client.start();
+        peerAddress = transport.start(settings.listen().peer());
+        int headerBytes = settings.limits().headerBytes();
+        HttpListener caller = HttpListener.callers(settings.listen().caller(), headerBytes, callerHandler);
+        listeners.add(caller);
+        callerAddress = caller.address();
+        HttpListener admin = HttpListener.operators(
+                settings.listen().admin(),
+                headerBytes,
+                settings.admin().keyStore(),
+                new AdminHandler(this, settings.admin().token()));
+        listeners.add(admin);
+        adminAddress = admin.address();
+        views.members(membership.peers(), self());
+        repeat(timers, broker::tick, () -> SLOT_TICK_MS);
+        repeat(timers, this::heartbeat, () -> HEARTBEAT_MS);
+        repeat(timers, keys::sweep, () -> KEY_SWEEP_MS);
+        repeat(blocking, this::pollTables, tableFollower::nextDelayMs);
+        repeat(blocking, instanceFollower::poll, instanceFollower::nextDelayMs);
+        LOG.infof(
+                "entry instance %s listens for callers on %s, peers on %s, operators on %s",
+                settings.instance(),
+                Addresses.text(callerAddress),
+                Addresses.text(peerAddress),
+                Addresses.text(adminAddress));
+    }
+
+    private TableService budgeted(TableService service, String purpose, double writesPerSecond) {
+        return new BudgetedTableService(
+                service,
+                purpose,
+                new TokenBucket(ticker, READS_PER_SECOND, BURST),
+                new TokenBucket(ticker, writesPerSecond, BURST),
+                metrics);
+    }
+
+    private KeyDesk keyDesk(TableService rows) {
+        String domain = settings.instance() + "~" + incarnation;
+        TokenBucket budget = new TokenBucket(ticker, KEY_WRITES_PER_SECOND, BURST);
+        return new KeyDesk(
+                new KeyIssuer(domain, secret(), ticker, startNanos),
+                new KeyIssuer("", secret(), ticker, startNanos),
+                new StoreClaims(rows, domain, budget),
+                ticker,
+                settings.limits().keyRecordBytes());
+    }
+
+    private static byte[] secret() {
+        byte[] secret = new byte[SECRET_BYTES];
+        new SecureRandom().nextBytes(secret);
+        return secret;
+    }
+
+    private EntryContext context() {
+        return new EntryContext(
+                settings.instance(),
+                ticker,
+                views::current,
+                broker,
+                new RegionChooser(
+                        settings.region(), () -> ThreadLocalRandom.current().nextDouble()),
+                new RetryBudgets(),
+                keys,
+                client,
+                new EntryLookup(settings.limits().lookupTtl()),
+                metrics,
+                tracing,
+                blocking,
+                settings.limits().bodyBytes(),
+                Duration.ofMillis(FORWARD_TIMEOUT_MS));
+    }
+
+    private void gauges() {
+        metrics.gauge("cowsliplatch_members", "Live entry instances known, this one included", () -> views.current()
+                .members()
+                .size());
+        metrics.gauge("cowsliplatch_slots_in_use", "Slots held or waited for here", broker::inUse);
+        metrics.gauge("cowsliplatch_key_records", "Records of idempotency keys", keys::size);
+        metrics.gauge("cowsliplatch_ready", "1 if requests are served", () -> isReady() ? 1 : 0);
+        metrics.gauge(
+                "cowsliplatch_peer_sent_bytes", "Bytes of frames sent to peers since the start", transport::sentBytes);
+    }
+
+    /** Runs a task again and again, each time after a delay in ms; a failure is logged and does not end it. */
+    private static void repeat(ScheduledExecutorService executor, Runnable task, LongSupplier delayMs) {
+        executor.execute(new Runnable() {
+            @Override
+            public void run() {
+                try {
+                    task.run();
+                } catch (RuntimeException e) {
+                    LOG.error("a periodic task failed", e);
+                }
+                if (!executor.isShutdown()) {
+                    schedule();
+                }
+            }
+
+            private void schedule() {
+                try {
+                    var unused = executor.schedule(this, delayMs.getAsLong(), TimeUnit.MILLISECONDS);
+                } catch (java.util.concurrent.RejectedExecutionException e) {
+                    LOG.debug("stopped while a periodic task was due");
+                }
+            }
+        });
+    }
+
+    private Member self() {
+        TableVersion version = log.current();
+        return new Member(
+                settings.instance(),
+                incarnation,
+                settings.region(),
+                settings.zone(),
+                Addresses.text(callerAddress),
+                Addresses.text(peerAddress),
+                Addresses.text(adminAddress),
+                leaving,
+                version.number(),
+                version.number() == 0 ? "" : version.digest(),
+                keys.own().issuer().prefix(),
+                keys.adoptedDomains());
+    }
+
+    private void onTables(TableVersion version) {
+        LOG.infof("table version %d is in force", version.number());
+        metrics.tableVersion(version.number());
+        views.tables(version);
+        views.members(membership.peers(), self());
+        transport.heartbeat(broker.loads());
+    }
+
+    private void pollTables() {
+        if (tableFollower.poll() == TableFollower.Round.REFUSED) {
+            metrics.alarm("table-regression");
+        }
+    }
+
+    private void heartbeat() {
+        membership.expire();
+        Set<String> addresses = new HashSet<>(instanceFollower.peerAddresses());
+        settings.seeds().forEach(seed -> addresses.add(Addresses.text(seed)));
+        membership.peers().forEach(peer -> addresses.add(peer.peerAddress()));
+        addresses.remove(Addresses.text(peerAddress));
+        transport.retain(addresses);
+        transport.connect(addresses);
+        views.members(membership.peers(), self());
+        transport.heartbeat(broker.loads());
+    }
+
+    @Override
+    public void described(Member member) {
+        if (member.name().equals(settings.instance())) {
+            return;
+        }
+        transport.named(member.name(), member.peerAddress());
+        boolean changed = membership.described(member);
+        transport.connect(List.of(member.peerAddress()));
+        if (changed) {
+            views.members(membership.peers(), self());
+        }
+        tableSync.announced(member);
+    }
+
+    @Override
+    public boolean alive(String from, List<PeerMessage.GroupReport> loads) {
+        return membership.alive(from);
+    }
+
+    @Override
+    public void received(String from, PeerMessage message) {
+        membership.alive(from);
+        broker.receive(from, message);
+        tableSync.receive(from, message);
+        if (message instanceof PeerMessage.KeysHandOver handOver) {
+            keys.adopt(handOver.domain(), handOver.secret(), handOver.ageNanos(), handOver.records());
+            if (handOver.last()) {
+                views.members(membership.peers(), self());
+                transport.heartbeat(broker.loads());
+                transport.send(from, new PeerMessage.KeysTaken(handOver.domain()));
+            }
+        } else if (message instanceof PeerMessage.KeysTaken taken) {
+            plannedStop.taken(from, taken.domain());
+        }
+    }
+
+    @Override
+    public TableVersion tables() {
+        return log.current();
+    }
+
+    @Override
+    public List<String> regions() {
+        return List.copyOf(settings.regions().keySet());
+    }
+
+    @Override
+    public TableChange apply(TableEdit edit) throws TableException {
+        restoreStoreIfBehind();
+        TableChange change = editor.apply(edit);
+        log.append("an operator", List.of(change));
+        return change;
+    }
+
+    /** Puts accepted versions back into a store that was restored to an older state, before it takes a new one. */
+    private void restoreStoreIfBehind() throws TableException {
+        TableHead head = reader.head();
+        if (head.version() >= log.current().number()) {
+            return;
+        }
+        metrics.alarm("store-restored");
+        editor.restoreForward(log.changesAfter(head.version()));
+    }
+
+    @Override
+    public List<TableChange> history(long after, int limit) throws TableException {
+        return reader.changesAfter(after, limit);
+    }
+
+    @Override
+    public Status status() {
+        List<GroupStatus> groups = new ArrayList<>();
+        for (PeerMessage.GroupReport report : broker.loads()) {
+            groups.add(new GroupStatus(
+                    report.group().pool(),
+                    report.group().region(),
+                    report.load().slots(),
+                    report.load().free(),
+                    report.load().outstanding(),
+                    report.load().waiting()));
+        }
+        return new Status(
+                status(self()),
+                isReady(),
+                callerHandler.inFlight(),
+                broker.inUse(),
+                keys.size(),
+                groups,
+                membership.peers().stream().map(RunningEntry::status).toList());
+    }
+
+    private static InstanceStatus status(Member member) {
+        return new InstanceStatus(
+                member.name(),
+                member.region(),
+                member.zone(),
+                member.callerAddress(),
+                member.adminAddress(),
+                member.leaving(),
+                member.tableVersion());
+    }
+
+    @Override
+    public void drain() {
+        if (leaving) {
+            return;
+        }
+        leaving = true;
+        LOG.infof("planned stop of %s begins", settings.instance());
+        callerHandler.leave();
+        views.members(membership.peers(), self());
+        transport.heartbeat(broker.loads());
+        timers.execute(this::continueStop);
+    }
+
+    private void continueStop() {
+        if (!plannedStop.advance()) {
+            var unused = timers.schedule(this::continueStop, PlannedStop.STEP_MS, TimeUnit.MILLISECONDS);
+            return;
+        }
+        LOG.infof("planned stop of %s is complete", settings.instance());
+        new Thread(this::close, "stop").start();
+    }
+
+    /** Completes when everything is closed. */
+    public CompletableFuture<Void> stopped() {
+        return stopped;
+    }
+
+    @Override
+    public boolean isReady() {
+        long mine = log.current().number();
+        boolean newest = membership.peers().stream().allMatch(peer -> peer.tableVersion() <= mine);
+        boolean settled = ticker.nanos() - startNanos > READY_GRACE.toNanos()
+                || !membership.peers().isEmpty()
+                || settings.seeds().isEmpty();
+        return mine > 0 && newest && settled && !leaving;
+    }
+
+    @Override
+    public byte[] metrics() {
+        return metrics.text();
+    }
+
+    @Override
+    public List<SpanRing.SpanText> trace(String traceId) {
+        return tracing.ring().trace(traceId);
+    }
+
+    /** Returns the address for callers. */
+    public InetSocketAddress callerAddress() {
+        return callerAddress;
+    }
+
+    /** Returns the address for peers. */
+    public InetSocketAddress peerAddress() {
+        return peerAddress;
+    }
+
+    /** Returns the address for operators. */
+    public InetSocketAddress adminAddress() {
+        return adminAddress;
+    }
+
+    @Override
+    public void close() {
+        if (!closed.compareAndSet(false, true)) {
+            return;
+        }
+        timers.shutdownNow();
+        blocking.shutdownNow();
+        for (HttpListener listener : listeners) {
+            try {
+                listener.close();
+            } catch (EntryStartException e) {
+                LOG.warnf("a listener did not close: %s", e.getMessage());
+            }
+        }
+        transport.close();
+        try {
+            client.close();
+        } catch (EntryStartException e) {
+            LOG.warnf("the client did not close: %s", e.getMessage());
+        }
+        tracing.close();
+        stopped.complete(null);
+    }
+}
--- /dev/null
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/package-info.java
@@ -0,0 +1,5 @@
+/** Assembly of an entry instance. */
+@NullMarked
+package org.cowsliplatch.internal.entry;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/EndpointSet.java
@@ -0,0 +1,230 @@
+package org.cowsliplatch.internal.limit;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Endpoints of one group in buckets by occupancy, so that the least occupied is found in constant time.
+ *
+ * <p>Guarded by the lock of the grantor.
+ */
+final class EndpointSet {
+    /** Largest share of the endpoints that health alone may keep out. */
+    private static final double MOST_EJECTED = 1.0 / 3;
+
+    private static final int PICK_TRIES = 4;
+
+    private final RandomGenerator random;
+    private final int slots;
+    private final long rampNanos;
+    private final Map<String, EndpointSlots> byId = new HashMap<>();
+    private final List<List<EndpointSlots>> buckets = new ArrayList<>();
+    private final Set<String> left = new HashSet<>();
+    private final List<EndpointSlots> inTransition = new ArrayList<>();
+    private boolean filled;
+    private int free;
+    private int total;
+
+    EndpointSet(RandomGenerator random, int slots, long rampNanos) {
+        this.random = random;
+        this.slots = slots;
+        this.rampNanos = rampNanos;
+        for (int i = 0; i < slots; i++) {
+            buckets.add(new ArrayList<>());
+        }
+    }
+
+    /** Takes over the listed endpoints; those that appear after the first list are cold. */
+    void update(Collection<Endpoint> listed, Collection<String> leavingIds, long now) {
+        Set<String> ids = new HashSet<>();
+        left.addAll(leavingIds);
+        for (Endpoint endpoint : listed) {
+            ids.add(endpoint.id());
+            if (!byId.containsKey(endpoint.id())) {
+                long ramp = filled ? rampNanos : 0;
+                byId.put(endpoint.id(), new EndpointSlots(endpoint, slots, now, ramp));
+            }
+        }
+        filled = true;
+        Iterator<EndpointSlots> known = byId.values().iterator();
+        while (known.hasNext()) {
+            EndpointSlots endpoint = known.next();
+            if (!ids.contains(endpoint.endpoint().id())) {
+                endpoint.remove();
+                unlink(endpoint);
+                known.remove();
+                continue;
+            }
+            if (left.contains(endpoint.endpoint().id())) {
+                endpoint.leave();
+            }
+            place(endpoint, now);
+        }
+        left.retainAll(ids);
+        count(now);
+    }
+
+    /** Returns whether no endpoint could take work even if all its slots were free. */
+    boolean isEmpty() {
+        return total == 0;
+    }
+
+    /** Returns the slots that are free now. */
+    int free() {
+        return free;
+    }
+
+    /** Returns the slots that may be used now, free or not. */
+    int total() {
+        return total;
+    }
+
+    Collection<EndpointSlots> all() {
+        return byId.values();
+    }
+
+    @Nullable
+    EndpointSlots find(String id) {
+        return byId.get(id);
+    }
+
+    /** Returns an endpoint of the least occupied, by preference in a zone, or null if no slot is free. */
+    @Nullable
+    EndpointSlots pick(String zone) {
+        for (List<EndpointSlots> bucket : buckets) {
+            if (bucket.isEmpty()) {
+                continue;
+            }
+            EndpointSlots pick = bucket.get(random.nextInt(bucket.size()));
+            for (int i = 0; i < PICK_TRIES && !pick.endpoint().zone().equals(zone); i++) {
+                pick = bucket.get(random.nextInt(bucket.size()));
+            }
+            return pick;
+        }
+        return null;
+    }
+
+    void occupy(EndpointSlots endpoint, long now) {
+        endpoint.occupy();
+        replace(endpoint, now);
+    }
+
+    void free(EndpointSlots endpoint, long now) {
+        endpoint.free();
+        replace(endpoint, now);
+    }
+
+    /** Notes how a use ended and ejects the endpoint if it must be, and if enough others remain. */
+    void note(EndpointSlots endpoint, SlotOutcome outcome, long now) {
+        if (outcome == SlotOutcome.LEAVING) {
+            left.add(endpoint.endpoint().id());
+            endpoint.leave();
+            replace(endpoint, now);
+            count(now);
+            return;
+        }
+        boolean eject = endpoint.note(outcome, now);
+        if (eject && !endpoint.isGone() && mayEjectOneMore(now)) {
+            endpoint.eject(now);
+            count(now);
+        }
+        replace(endpoint, now);
+    }
+
+    /** Moves endpoints whose level changed with time; returns whether slots came free. */
+    boolean tick(long now) {
+        if (inTransition.isEmpty()) {
+            return false;
+        }
+        int before = free;
+        for (EndpointSlots endpoint : List.copyOf(inTransition)) {
+            place(endpoint, now);
+        }
+        count(now);
+        return free > before;
+    }
+
+    private boolean mayEjectOneMore(long now) {
+        int ejected = 0;
+        int usable = 0;
+        for (EndpointSlots endpoint : byId.values()) {
+            if (endpoint.isLeaving()) {
+                continue;
+            }
+            usable++;
+            if (endpoint.isEjected(now)) {
+                ejected++;
+            }
+        }
+        return ejected + 1 <= usable * MOST_EJECTED;
+    }
+
+    private void replace(EndpointSlots endpoint, long now) {
+        int before = freeOf(endpoint);
+        place(endpoint, now);
+        free += freeOf(endpoint) - before;
+    }
+
+    private int freeOf(EndpointSlots endpoint) {
+        return endpoint.bucket < 0 ? 0 : slots - endpoint.bucket;
+    }
+
+    /** Puts the endpoint into the bucket of its level, or into none if it may not get work. */
+    private void place(EndpointSlots endpoint, long now) {
+        boolean usable = !endpoint.isGone() && !endpoint.isLeaving() && !endpoint.isEjected(now);
+        int level = usable ? endpoint.level(now) : slots;
+        if (level != endpoint.bucket) {
+            unlink(endpoint);
+            if (level < slots) {
+                link(endpoint, level);
+            }
+        }
+        if (endpoint.isInTransition(now) && !endpoint.isGone()) {
+            if (!inTransition.contains(endpoint)) {
+                inTransition.add(endpoint);
+            }
+        } else {
+            inTransition.remove(endpoint);
+        }
+    }
+
+    private void link(EndpointSlots endpoint, int level) {
+        List<EndpointSlots> bucket = buckets.get(level);
+        endpoint.bucket = level;
+        endpoint.place = bucket.size();
+        bucket.add(endpoint);
+    }
+
+    private void unlink(EndpointSlots endpoint) {
+        if (endpoint.bucket < 0) {
+            return;
+        }
+        List<EndpointSlots> bucket = buckets.get(endpoint.bucket);
+        EndpointSlots last = bucket.remove(bucket.size() - 1);
+        if (last != endpoint) {
+            bucket.set(endpoint.place, last);
+            last.place = endpoint.place;
+        }
+        endpoint.bucket = -1;
+        endpoint.place = -1;
+    }
+
+    private void count(long now) {
+        free = 0;
+        total = 0;
+        for (EndpointSlots endpoint : byId.values()) {
+            free += freeOf(endpoint);
+            if (!endpoint.isLeaving() && !endpoint.isEjected(now)) {
+                total += endpoint.allowed(now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotGrantor.java
@@ -0,0 +1,326 @@
+package org.cowsliplatch.internal.limit;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+import org.cowsliplatch.internal.util.Ticker;
+import org.cowsliplatch.table.Pool;
+import org.cowsliplatch.table.Rank;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Grants the slots of one group of endpoints to all entry instances, by rank, then oldest first.
+ *
+ * <p>One grantor for all holders keeps one queue one queue, and bounds what is outstanding at each endpoint by its
+ * slots. It does no I/O and has no thread; each method returns what it decided. Safe for use by several threads.
+ */
+public final class SlotGrantor {
+    private static final double DEMAND_TAU_NANOS = 1e9;
+    /** Time that a slot stays occupied after its request was given up but may still run. */
+    private static final long MAYBE_BUSY_NANOS = 1_000_000_000L;
+    /** Share of the slots that may stand free for urgent requests while others wait. */
+    private static final double MOST_RESERVED = 0.05;
+    /** Largest part of a request's time that must be left when it gets a slot. */
+    private static final double MOST_NEEDED = 0.5;
+
+    private record Key(String holder, long askId) {}
+
+    private record Outstanding(EndpointSlots endpoint, Rank rank, long sinceNanos) {}
+
+    private record MaybeBusy(EndpointSlots endpoint, Rank rank, long untilNanos) {}
+
+    private final Ticker ticker;
+    private final EndpointSet endpoints;
+    private final RankQueues queues = new RankQueues();
+    private final Map<Key, Outstanding> grants = new HashMap<>();
+    private final ArrayDeque<MaybeBusy> maybeBusy = new ArrayDeque<>();
+    private final ServiceTime serviceTime = new ServiceTime();
+    private final int[] inFlight = new int[Rank.count()];
+    private final DecayingMean[] occupancy = new DecayingMean[Rank.count()];
+    private final int queueLimit;
+    private boolean learning;
+
+    /**
+     * Creates a grantor without endpoints.
+     *
+     * @param pool row of the pool table
+     * @param ticker clock
+     * @param random source for the choice among equal endpoints
+     */
+    public SlotGrantor(Pool pool, Ticker ticker, RandomGenerator random) {
+        this.ticker = ticker;
+        this.endpoints = new EndpointSet(random, pool.slots(), pool.ramp().toNanos());
+        this.queueLimit = pool.queueLimit();
+        for (int i = 0; i < occupancy.length; i++) {
+            occupancy[i] = new DecayingMean(DEMAND_TAU_NANOS, ticker.nanos());
+        }
+    }
+
+    /**
+     * Takes over the endpoints listed now.
+     *
+     * @param listed endpoints of the group, leaving ones included
+     * @param leavingIds ids of those that are leaving
+     * @return asks that were decided by it
+     */
+    public synchronized List<SlotEvent> endpoints(Collection<Endpoint> listed, Collection<String> leavingIds) {
+        long now = ticker.nanos();
+        endpoints.update(listed, leavingIds, now);
+        List<SlotEvent> events = new ArrayList<>();
+        dispatch(now, events);
+        return events;
+    }
+
+    /** Decides an ask now, or lets it wait; returns the asks decided, of which it may be one. */
+    public synchronized List<SlotEvent> ask(Ask ask) {
+        long now = ticker.nanos();
+        List<SlotEvent> events = new ArrayList<>(1);
+        Refusal refusal = admission(ask, now, events);
+        if (refusal != null) {
+            events.add(new SlotEvent.Refused(ask, refusal));
+            return events;
+        }
+        queues.add(ask);
+        dispatch(now, events);
+        return events;
+    }
+
+    /** Takes back an ask that is still waiting; returns whether it was. */
+    public synchronized boolean cancel(String holder, long askId) {
+        return queues.remove(holder, askId);
+    }
+
+    /** Takes back the slot that an ask got; an unknown one is passed over. */
+    public synchronized List<SlotEvent> release(String holder, long askId, SlotOutcome outcome) {
+        long now = ticker.nanos();
+        List<SlotEvent> events = new ArrayList<>(1);
+        Outstanding grant = grants.remove(new Key(holder, askId));
+        if (grant == null) {
+            return events;
+        }
+        if (outcome == SlotOutcome.ANSWERED) {
+            serviceTime.add((double) (now - grant.sinceNanos()));
+        }
+        endpoints.note(grant.endpoint(), outcome, now);
+        if (outcome.maybeBusy()) {
+            maybeBusy.addLast(new MaybeBusy(grant.endpoint(), grant.rank(), now + MAYBE_BUSY_NANOS));
+        } else {
+            free(grant.endpoint(), grant.rank(), now);
+        }
+        dispatch(now, events);
+        return events;
+    }
+
+    /** Takes all waiting asks back, oldest first within each rank. */
+    public synchronized List<Ask> drain() {
+        List<Ask> waiting = new ArrayList<>();
+        for (int i = 0; i < Rank.count(); i++) {
+            Ask ask = queues.peek(Rank.at(i));
+            while (ask != null) {
+                queues.remove(ask);
+                waiting.add(ask);
+                ask = queues.peek(Rank.at(i));
+            }
+        }
+        return waiting;
+    }
+
+    /** Forgets the asks of a holder that died; its slots come free once its requests can no longer run. */
+    public synchronized void holderGone(String holder) {
+        long now = ticker.nanos();
+        queues.removeHolder(holder);
+        Iterator<Map.Entry<Key, Outstanding>> all = grants.entrySet().iterator();
+        while (all.hasNext()) {
+            Map.Entry<Key, Outstanding> entry = all.next();
+            if (entry.getKey().holder().equals(holder)) {
+                Outstanding grant = entry.getValue();
+                maybeBusy.addLast(new MaybeBusy(grant.endpoint(), grant.rank(), now + MAYBE_BUSY_NANOS));
+                all.remove();
+            }
+        }
+    }
+
+    /** Lets asks wait without deciding them, until {@link #learned}. */
+    public synchronized void learn() {
+        learning = true;
+    }
+
+    /** Begins to grant, after the slots that holders got from an earlier grantor were adopted. */
+    public synchronized List<SlotEvent> learned() {
+        learning = false;
+        List<SlotEvent> events = new ArrayList<>();
+        dispatch(ticker.nanos(), events);
+        return events;
+    }
+
+    /** Counts a slot that a holder got from an earlier grantor; unknown endpoints are passed over. */
+    public synchronized void adopt(String holder, long askId, String endpointId, Rank rank) {
+        EndpointSlots endpoint = endpoints.find(endpointId);
+        Key key = new Key(holder, askId);
+        if (endpoint != null && !grants.containsKey(key)) {
+            occupy(key, endpoint, rank, ticker.nanos());
+        }
+    }
+
+    /** Does what time alone brings: refuses what is too late, ends ramps and ejections, frees slots. */
+    public synchronized List<SlotEvent> tick() {
+        long now = ticker.nanos();
+        List<SlotEvent> events = new ArrayList<>();
+        while (!maybeBusy.isEmpty() && maybeBusy.peekFirst().untilNanos() <= now) {
+            MaybeBusy ended = maybeBusy.removeFirst();
+            free(ended.endpoint(), ended.rank(), now);
+        }
+        endpoints.tick(now);
+        for (int i = 0; i < Rank.count(); i++) {
+            dropLate(Rank.at(i), now, events);
+        }
+        dispatch(now, events);
+        return events;
+    }
+
+    /** Returns what is free, waiting and in use now. */
+    public synchronized GroupLoad load() {
+        return new GroupLoad(endpoints.total(), endpoints.free(), grants.size() + maybeBusy.size(), queues.size());
+    }
+
+    /** Returns the most requests outstanding at any endpoint now. */
+    public synchronized int mostOutstanding() {
+        int most = 0;
+        for (EndpointSlots endpoint : endpoints.all()) {
+            most = Math.max(most, endpoint.outstanding());
+        }
+        return most;
+    }
+
+    /** Returns why an ask can't wait, or null if it can. */
+    private @Nullable Refusal admission(Ask ask, long now, List<SlotEvent> events) {
+        if (endpoints.isEmpty()) {
+            return Refusal.NO_ENDPOINT;
+        }
+        if (queues.size() >= queueLimit && !makeRoom(ask.rank(), events)) {
+            return Refusal.QUEUE_FULL;
+        }
+        double wait = expectedWaitNanos(ask.rank(), now);
+        if (now + wait + neededNanos(ask) > ask.deadlineNanos()) {
+            return Refusal.TOO_LATE;
+        }
+        return null;
+    }
+
+    /** Refuses the newest ask of the least urgent rank below this one; returns whether there was any. */
+    private boolean makeRoom(Rank rank, List<SlotEvent> events) {
+        for (int i = Rank.count() - 1; i > rank.ordinal(); i--) {
+            Ask newest = queues.peekLast(Rank.at(i));
+            if (newest != null) {
+                queues.remove(newest);
+                events.add(new SlotEvent.Refused(newest, Refusal.QUEUE_FULL));
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Returns the time in ns that a new ask of a rank would wait, by the current queue and service time. */
+    private double expectedWaitNanos(Rank rank, long now) {
+        int ahead = queues.sizeUpTo(rank);
+        if (ahead == 0 && endpoints.free() > reserve(rank, now)) {
+            return 0;
+        }
+        double total = endpoints.total();
+        double moreUrgent = 0;
+        for (int i = 0; i < rank.ordinal(); i++) {
+            moreUrgent += Math.min(total, occupancy[i].mean(now));
+        }
+        double share = Math.max(rank.floorShare(), 1 - moreUrgent / total);
+        int sameRank = queues.size(rank) + 1;
+        double own = share <= 0 ? ahead + 1 : sameRank / share;
+        return own * serviceTime.mean() / total;
+    }
+
+    /** Returns the time in ns that must be left for an answer to come in time. */
+    private double neededNanos(Ask ask) {
+        return Math.min(serviceTime.upper(), ask.budgetNanos() * MOST_NEEDED);
+    }
+
+    private void dropLate(Rank rank, long now, List<SlotEvent> events) {
+        Ask oldest = queues.peek(rank);
+        while (oldest != null && now + neededNanos(oldest) > oldest.deadlineNanos()) {
+            queues.remove(oldest);
+            events.add(new SlotEvent.Refused(oldest, Refusal.TOO_LATE));
+            oldest = queues.peek(rank);
+        }
+    }
+
+    private void dispatch(long now, List<SlotEvent> events) {
+        while (endpoints.free() > 0 && !learning) {
+            Rank rank = nextRank(now);
+            if (rank == null) {
+                return;
+            }
+            dropLate(rank, now, events);
+            Ask ask = queues.peek(rank);
+            if (ask == null) {
+                continue;
+            }
+            EndpointSlots endpoint = endpoints.pick(ask.zone());
+            if (endpoint == null) {
+                return;
+            }
+            queues.remove(ask);
+            occupy(new Key(ask.holder(), ask.id()), endpoint, rank, now);
+            events.add(new SlotEvent.Granted(ask, endpoint.endpoint()));
+        }
+    }
+
+    /** Returns the rank whose oldest ask gets the next free slot, or null if none may. */
+    private @Nullable Rank nextRank(long now) {
+        for (int i = 1; i < Rank.count(); i++) {
+            Rank rank = Rank.at(i);
+            if (queues.size(rank) > 0 && isBelowFloor(rank, now)) {
+                return rank;
+            }
+        }
+        for (int i = 0; i < Rank.count(); i++) {
+            Rank rank = Rank.at(i);
+            if (queues.size(rank) > 0) {
+                return endpoints.free() > reserve(rank, now) ? rank : null;
+            }
+        }
+        return null;
+    }
+
+    private boolean isBelowFloor(Rank rank, long now) {
+        double floor = rank.floorShare() * endpoints.total();
+        return inFlight[rank.ordinal()] < Math.max(1, Math.ceil(floor)) && occupancy[rank.ordinal()].mean(now) < floor;
+    }
+
+    /** Returns the slots that a rank must leave free for urgent asks to come. */
+    private int reserve(Rank rank, long now) {
+        if (rank == Rank.URGENT || occupancy[0].mean(now) < 0.05) {
+            return 0;
+        }
+        return (int) (endpoints.total() * MOST_RESERVED);
+    }
+
+    private void occupy(Key key, EndpointSlots endpoint, Rank rank, long now) {
+        endpoints.occupy(endpoint, now);
+        count(rank, 1, now);
+        grants.put(key, new Outstanding(endpoint, rank, now));
+    }
+
+    private void free(EndpointSlots endpoint, Rank rank, long now) {
+        endpoints.free(endpoint, now);
+        count(rank, -1, now);
+    }
+
+    private void count(Rank rank, int change, long now) {
+        int i = rank.ordinal();
+        inFlight[i] += change;
+        occupancy[i].set(now, inFlight[i]);
+    }
+}
--- /dev/null
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/member/Member.java
@@ -0,0 +1,48 @@
+package org.cowsliplatch.internal.member;
+
+import java.util.List;
+
+/**
+ * One entry instance as it last described itself.
+ *
+ * @param name name, unique in the system
+ * @param incarnation start of it, 16 hexadecimal digits
+ * @param region region
+ * @param zone availability zone
+ * @param callerAddress address for callers
+ * @param peerAddress address for peers
+ * @param adminAddress address for operators
+ * @param leaving whether it takes part in a planned stop
+ * @param tableVersion table version in force on it
+ * @param tableDigest digest of those tables
+ * @param keyPrefix prefix for idempotency keys that it owns
+ * @param adoptedDomains domains of stopped entry instances whose keys it took over
+ */
+public record Member(
+        String name,
+        String incarnation,
+        String region,
+        String zone,
+        String callerAddress,
+        String peerAddress,
+        String adminAddress,
+        boolean leaving,
+        long tableVersion,
+        String tableDigest,
+        String keyPrefix,
+        List<String> adoptedDomains) {
+    /** Copies the domains. */
+    public Member {
+        adoptedDomains = List.copyOf(adoptedDomains);
+    }
+
+    /** Returns name and incarnation together. */
+    public String domain() {
+        return name + "~" + incarnation;
+    }
+
+    /** Returns whether this entry instance runs the keys of a domain. */
+    public boolean runsKeysOf(String domain) {
+        return domain.equals(domain()) || adoptedDomains.contains(domain);
+    }
+}
--- /dev/null
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/member/Membership.java
@@ -0,0 +1,91 @@
+package org.cowsliplatch.internal.member;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.cowsliplatch.internal.util.Ticker;
+
+/** Which entry instances were heard of lately; safe for use by several threads. */
+public final class Membership {
+    /** Silence after which an entry instance counts as dead. */
+    public static final long DEAD_AFTER_NANOS = 2_400_000_000L;
+
+    private static final class Heard {
+        Member member;
+        long atNanos;
+
+        Heard(Member member, long atNanos) {
+            this.member = member;
+            this.atNanos = atNanos;
+        }
+    }
+
+    private final String self;
+    private final Ticker ticker;
+    private final Map<String, Heard> heard = new HashMap<>();
+
+    /**
+     * Creates a membership without peers.
+     *
+     * @param self name of this entry instance; what peers say under it is passed over
+     * @param ticker clock
+     */
+    public Membership(String self, Ticker ticker) {
+        this.self = self;
+        this.ticker = ticker;
+    }
+
+    /** Takes a peer's description over; returns whether it is new or differs. */
+    public synchronized boolean described(Member member) {
+        if (member.name().equals(self)) {
+            return false;
+        }
+        long now = ticker.nanos();
+        Heard known = heard.get(member.name());
+        if (known == null) {
+            heard.put(member.name(), new Heard(member, now));
+            return true;
+        }
+        known.atNanos = now;
+        boolean differs = !known.member.equals(member);
+        known.member = member;
+        return differs;
+    }
+
+    /** Notes a sign of life; returns whether the peer's description is known. */
+    public synchronized boolean alive(String name) {
+        Heard known = heard.get(name);
+        if (known == null) {
+            return false;
+        }
+        known.atNanos = ticker.nanos();
+        return true;
+    }
+
+    /** Forgets peers that were silent for too long; returns whether there was any. */
+    public synchronized boolean expire() {
+        long now = ticker.nanos();
+        return heard.values().removeIf(peer -> now - peer.atNanos > DEAD_AFTER_NANOS);
+    }
+
+    /** Forgets a peer that said it is gone. */
+    public synchronized void remove(String name) {
+        heard.remove(name);
+    }
+
+    /** Returns the peers heard of lately, by name. */
+    public synchronized List<Member> peers() {
+        List<Member> peers = new ArrayList<>();
+        heard.values().forEach(peer -> peers.add(peer.member));
+        peers.sort(Comparator.comparing(Member::name));
+        return peers;
+    }
+
+    /** Returns the peer with a name if it was heard of lately. */
+    public synchronized Optional<Member> peer(String name) {
+        return Optional.ofNullable(heard.get(name)).map(peer -> peer.member);
+    }
+}
--- /dev/null
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/once/KeyIssuer.java
@@ -0,0 +1,85 @@
+package org.cowsliplatch.internal.once;
+
+import java.nio.charset.StandardCharsets;
+import java.security.GeneralSecurityException;
+import java.security.MessageDigest;
+import java.util.Arrays;
+import java.util.Base64;
+import java.util.concurrent.TimeUnit;
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+import org.cowsliplatch.internal.util.Ticker;
+
+/** Issues key prefixes of one incarnation and tells whether a prefix is one of them. */
+public final class KeyIssuer {
+    private static final String ALGORITHM = "HmacSHA256";
+    private static final int MAC_BYTES = 9;
+    private static final int RADIX = 36;
+
+    private final String domain;
+    private final byte[] secret;
+    private final Ticker ticker;
+    private final long startNanos;
+
+    /**
+     * Creates an issuer.
+     *
+     * @param domain owner and incarnation
+     * @param secret key of the message authentication code, at least 16 bytes
+     * @param ticker clock
+     * @param startNanos start of the incarnation on that clock
+     */
+    public KeyIssuer(String domain, byte[] secret, Ticker ticker, long startNanos) {
+        this.domain = domain;
+        this.secret = secret.clone();
+        this.ticker = ticker;
+        this.startNanos = startNanos;
+    }
+
+    /** Returns the prefix of the current minute. */
+    public String prefix() {
+        return prefix(minute());
+    }
+
+    /** Returns the minutes since the start of the incarnation. */
+    public long minute() {
+        return TimeUnit.NANOSECONDS.toMinutes(ticker.nanos() - startNanos);
+    }
+
+    /** Returns whether this issuer issued the prefix of a key. */
+    public boolean isIssued(IdempotencyKey.Owned key) {
+        byte[] expected = prefix(key.minute()).getBytes(StandardCharsets.US_ASCII);
+        return MessageDigest.isEqual(expected, key.prefix().getBytes(StandardCharsets.US_ASCII));
+    }
+
+    /** Returns owner and incarnation. */
+    public String domain() {
+        return domain;
+    }
+
+    /** Returns the age of the incarnation in ns. */
+    public long ageNanos() {
+        return ticker.nanos() - startNanos;
+    }
+
+    /** Returns a copy of the secret, for the successor at a planned stop. */
+    public byte[] secret() {
+        return secret.clone();
+    }
+
+    private String prefix(long minute) {
+        String stem = domain + "~" + Long.toString(minute, RADIX);
+        return stem + "~" + mac(stem);
+    }
+
+    private String mac(String stem) {
+        try {
+            Mac mac = Mac.getInstance(ALGORITHM);
+            mac.init(new SecretKeySpec(secret, ALGORITHM));
+            byte[] code = mac.doFinal(stem.getBytes(StandardCharsets.US_ASCII));
+            return Base64.getUrlEncoder().withoutPadding().encodeToString(Arrays.copyOf(code, MAC_BYTES));
+        } catch (GeneralSecurityException e) {
+            throw new IllegalStateException(ALGORITHM + " is missing from this Java runtime", e);
+        }
+    }
+}
--- /dev/null
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/peer/PeerCodec.java
@@ -0,0 +1,322 @@
+package org.cowsliplatch.internal.peer;
+
+import com.google.protobuf.ByteString;
+import java.util.List;
+import org.cowsliplatch.internal.limit.Endpoint;
+import org.cowsliplatch.internal.limit.GroupId;
+import org.cowsliplatch.internal.limit.GroupLoad;
+import org.cowsliplatch.internal.limit.Refusal;
+import org.cowsliplatch.internal.limit.SlotOutcome;
+import org.cowsliplatch.internal.member.Member;
+import org.cowsliplatch.internal.once.KeyLedger;
+import org.cowsliplatch.internal.once.Recorded;
+import org.cowsliplatch.table.Rank;
+import org.cowsliplatch.wire.Answer;
+import org.cowsliplatch.wire.Frame;
+import org.cowsliplatch.wire.Group;
+import org.cowsliplatch.wire.KeyRecord;
+
+/** Turns peer messages into frames and back. */
+public final class PeerCodec {
+    private PeerCodec() {}
+
+    /** Returns the frame of a message; a heartbeat's frame holds the member. */
+    public static Frame frame(PeerMessage message) {
+        Frame.Builder frame = Frame.newBuilder();
+        if (message instanceof PeerMessage.Heartbeat m) {
+            frame.setHeartbeat(heartbeat(m));
+        } else if (message instanceof PeerMessage.SlotAsk m) {
+            frame.setSlotAsk(org.cowsliplatch.wire.SlotAsk.newBuilder()
+                    .setGroup(group(m.group()))
+                    .setAskId(m.askId())
+                    .setRank(m.rank().ordinal())
+                    .setZone(m.zone())
+                    .setWaitedNanos(m.waitedNanos())
+                    .setLeftNanos(m.leftNanos()));
+        } else if (message instanceof PeerMessage.SlotQueued m) {
+            frame.setSlotQueued(org.cowsliplatch.wire.SlotQueued.newBuilder().setAskId(m.askId()));
+        } else if (message instanceof PeerMessage.SlotDeclined m) {
+            frame.setSlotDeclined(
+                    org.cowsliplatch.wire.SlotDeclined.newBuilder().setAskId(m.askId()));
+        } else if (message instanceof PeerMessage.SlotGranted m) {
+            frame.setSlotGranted(org.cowsliplatch.wire.SlotGranted.newBuilder()
+                    .setGroup(group(m.group()))
+                    .setAskId(m.askId())
+                    .setEndpoint(endpoint(m.endpoint())));
+        } else if (message instanceof PeerMessage.SlotRefused m) {
+            frame.setSlotRefused(org.cowsliplatch.wire.SlotRefused.newBuilder()
+                    .setAskId(m.askId())
+                    .setWhy(m.why().ordinal()));
+        } else if (message instanceof PeerMessage.SlotCancel m) {
+            frame.setSlotCancel(org.cowsliplatch.wire.SlotCancel.newBuilder()
+                    .setGroup(group(m.group()))
+                    .setAskId(m.askId()));
+        } else if (message instanceof PeerMessage.SlotRelease m) {
+            frame.setSlotRelease(org.cowsliplatch.wire.SlotRelease.newBuilder()
+                    .setGroup(group(m.group()))
+                    .setAskId(m.askId())
+                    .setOutcome(m.outcome().ordinal()));
+        } else {
+            rare(message, frame);
+        }
+        return frame.build();
+    }
+
+    private static void rare(PeerMessage message, Frame.Builder frame) {
+        if (message instanceof PeerMessage.HoldingsQuery m) {
+            frame.setHoldingsQuery(
+                    org.cowsliplatch.wire.HoldingsQuery.newBuilder().setGroup(group(m.group())));
+        } else if (message instanceof PeerMessage.Holdings m) {
+            frame.setHoldings(holdings(m));
+        } else if (message instanceof PeerMessage.TablesWanted m) {
+            frame.setTablesWanted(
+                    org.cowsliplatch.wire.TablesWanted.newBuilder().setAfter(m.after()));
+        } else if (message instanceof PeerMessage.TablesChanges m) {
+            frame.setTablesChanges(
+                    org.cowsliplatch.wire.TablesChanges.newBuilder().addAllChanges(m.changes()));
+        } else if (message instanceof PeerMessage.TablesWhole m) {
+            frame.setTablesWhole(org.cowsliplatch.wire.TablesWhole.newBuilder()
+                    .setVersion(m.version())
+                    .setDocument(m.document()));
+        } else if (message instanceof PeerMessage.KeysHandOver m) {
+            frame.setKeysHandOver(handOver(m));
+        } else if (message instanceof PeerMessage.KeysTaken m) {
+            frame.setKeysTaken(org.cowsliplatch.wire.KeysTaken.newBuilder().setDomain(m.domain()));
+        }
+    }
+
+    /**
+     * Returns the message in a frame.
+     *
+     * @throws MalformedFrameException if the frame holds none, or one with impossible values
+     */
+    public static PeerMessage message(Frame frame) throws MalformedFrameException {
+        try {
+            return decode(frame);
+        } catch (IndexOutOfBoundsException | IllegalArgumentException e) {
+            throw new MalformedFrameException(frame.getKindCase() + " has an impossible value", e);
+        }
+    }
+
+    private static PeerMessage decode(Frame frame) throws MalformedFrameException {
+        return switch (frame.getKindCase()) {
+            case SLOT_ASK -> slotAsk(frame.getSlotAsk());
+            case SLOT_QUEUED -> new PeerMessage.SlotQueued(frame.getSlotQueued().getAskId());
+            case SLOT_DECLINED ->
+                new PeerMessage.SlotDeclined(frame.getSlotDeclined().getAskId());
+            case SLOT_GRANTED ->
+                new PeerMessage.SlotGranted(
+                        group(frame.getSlotGranted().getGroup()),
+                        frame.getSlotGranted().getAskId(),
+                        endpoint(frame.getSlotGranted().getEndpoint()));
+            case SLOT_REFUSED ->
+                new PeerMessage.SlotRefused(
+                        frame.getSlotRefused().getAskId(),
+                        at(Refusal.values(), frame.getSlotRefused().getWhy()));
+            case SLOT_CANCEL ->
+                new PeerMessage.SlotCancel(
+                        group(frame.getSlotCancel().getGroup()),
+                        frame.getSlotCancel().getAskId());
+            case SLOT_RELEASE ->
+                new PeerMessage.SlotRelease(
+                        group(frame.getSlotRelease().getGroup()),
+                        frame.getSlotRelease().getAskId(),
+                        at(SlotOutcome.values(), frame.getSlotRelease().getOutcome()));
+            case HOLDINGS_QUERY ->
+                new PeerMessage.HoldingsQuery(group(frame.getHoldingsQuery().getGroup()));
+            case HOLDINGS -> holdings(frame.getHoldings());
+            case TABLES_WANTED ->
+                new PeerMessage.TablesWanted(frame.getTablesWanted().getAfter());
+            case TABLES_CHANGES ->
+                new PeerMessage.TablesChanges(
+                        List.copyOf(frame.getTablesChanges().getChangesList()));
+            case TABLES_WHOLE ->
+                new PeerMessage.TablesWhole(
+                        frame.getTablesWhole().getVersion(),
+                        frame.getTablesWhole().getDocument());
+            case KEYS_HAND_OVER -> handOver(frame.getKeysHandOver());
+            case KEYS_TAKEN -> new PeerMessage.KeysTaken(frame.getKeysTaken().getDomain());
+            default -> throw new MalformedFrameException("unexpected frame " + frame.getKindCase(), null);
+        };
+    }
+
+    /** Returns the wire form of a member. */
+    public static org.cowsliplatch.wire.Member member(Member member) {
+        return org.cowsliplatch.wire.Member.newBuilder()
+                .setName(member.name())
+                .setIncarnation(member.incarnation())
+                .setRegion(member.region())
+                .setZone(member.zone())
+                .setCallerAddress(member.callerAddress())
+                .setPeerAddress(member.peerAddress())
+                .setAdminAddress(member.adminAddress())
+                .setLeaving(member.leaving())
+                .setTableVersion(member.tableVersion())
+                .setTableDigest(member.tableDigest())
+                .setKeyPrefix(member.keyPrefix())
+                .addAllAdoptedDomains(member.adoptedDomains())
+                .build();
+    }
+
+    /** Returns the member in its wire form. */
+    public static Member member(org.cowsliplatch.wire.Member member) {
+        return new Member(
+                member.getName(),
+                member.getIncarnation(),
+                member.getRegion(),
+                member.getZone(),
+                member.getCallerAddress(),
+                member.getPeerAddress(),
+                member.getAdminAddress(),
+                member.getLeaving(),
+                member.getTableVersion(),
+                member.getTableDigest(),
+                member.getKeyPrefix(),
+                member.getAdoptedDomainsList());
+    }
+
+    /** Returns the loads in a heartbeat. */
+    public static List<PeerMessage.GroupReport> loads(org.cowsliplatch.wire.Heartbeat heartbeat) {
+        return heartbeat.getLoadsList().stream()
+                .map(report -> new PeerMessage.GroupReport(
+                        group(report.getGroup()),
+                        new GroupLoad(
+                                report.getSlots(), report.getFree(), report.getOutstanding(), report.getWaiting())))
+                .toList();
+    }
+
+    /** Returns the wire form of a heartbeat without its member. */
+    public static org.cowsliplatch.wire.Heartbeat.Builder heartbeatWithoutMember(List<PeerMessage.GroupReport> loads) {
+        org.cowsliplatch.wire.Heartbeat.Builder heartbeat = org.cowsliplatch.wire.Heartbeat.newBuilder();
+        for (PeerMessage.GroupReport report : loads) {
+            heartbeat.addLoads(org.cowsliplatch.wire.GroupReport.newBuilder()
+                    .setGroup(group(report.group()))
+                    .setSlots(report.load().slots())
+                    .setFree(report.load().free())
+                    .setOutstanding(report.load().outstanding())
+                    .setWaiting(report.load().waiting()));
+        }
+        return heartbeat;
+    }
+
+    private static org.cowsliplatch.wire.Heartbeat heartbeat(PeerMessage.Heartbeat message) {
+        return heartbeatWithoutMember(message.loads())
+                .setMember(member(message.member()))
+                .build();
+    }
+
+    private static PeerMessage slotAsk(org.cowsliplatch.wire.SlotAsk ask) {
+        return new PeerMessage.SlotAsk(
+                group(ask.getGroup()),
+                ask.getAskId(),
+                at(Rank.values(), ask.getRank()),
+                ask.getZone(),
+                ask.getWaitedNanos(),
+                ask.getLeftNanos());
+    }
+
+    private static org.cowsliplatch.wire.Holdings holdings(PeerMessage.Holdings message) {
+        org.cowsliplatch.wire.Holdings.Builder holdings =
+                org.cowsliplatch.wire.Holdings.newBuilder().setGroup(group(message.group()));
+        for (PeerMessage.Holding holding : message.holdings()) {
+            holdings.addHoldings(org.cowsliplatch.wire.Holding.newBuilder()
+                    .setAskId(holding.askId())
+                    .setEndpointId(holding.endpointId())
+                    .setRank(holding.rank().ordinal()));
+        }
+        return holdings.build();
+    }
+
+    private static PeerMessage holdings(org.cowsliplatch.wire.Holdings holdings) {
+        return new PeerMessage.Holdings(
+                group(holdings.getGroup()),
+                holdings.getHoldingsList().stream()
+                        .map(holding -> new PeerMessage.Holding(
+                                holding.getAskId(), holding.getEndpointId(), at(Rank.values(), holding.getRank())))
+                        .toList());
+    }
+
+    private static org.cowsliplatch.wire.KeysHandOver handOver(PeerMessage.KeysHandOver message) {
+        org.cowsliplatch.wire.KeysHandOver.Builder handOver = org.cowsliplatch.wire.KeysHandOver.newBuilder()
+                .setDomain(message.domain())
+                .setSecret(ByteString.copyFrom(message.secret()))
+                .setAgeNanos(message.ageNanos())
+                .setLast(message.last());
+        for (KeyLedger.Exported record : message.records()) {
+            handOver.addRecords(keyRecord(record));
+        }
+        return handOver.build();
+    }
+
+    private static PeerMessage handOver(org.cowsliplatch.wire.KeysHandOver handOver) {
+        return new PeerMessage.KeysHandOver(
+                handOver.getDomain(),
+                handOver.getSecret().toByteArray(),
+                handOver.getAgeNanos(),
+                handOver.getRecordsList().stream().map(PeerCodec::keyRecord).toList(),
+                handOver.getLast());
+    }
+
+    private static KeyRecord keyRecord(KeyLedger.Exported record) {
+        KeyRecord.Builder builder = KeyRecord.newBuilder()
+                .setKey(record.key())
+                .setFingerprint(record.fingerprint())
+                .setMinute(record.minute());
+        if (record.recorded() instanceof Recorded.Answer answer) {
+            builder.setAnswer(Answer.newBuilder()
+                    .setStatus(answer.status())
+                    .addAllHeaders(answer.headers())
+                    .setBody(ByteString.copyFrom(answer.body())));
+        } else if (record.recorded() instanceof Recorded.NotRun notRun) {
+            builder.setNotRun(notRun.detail());
+        } else if (record.recorded() instanceof Recorded.Unknown unknown) {
+            builder.setUnknown(unknown.detail());
+        }
+        return builder.build();
+    }
+
+    private static KeyLedger.Exported keyRecord(KeyRecord record) {
+        Recorded recorded =
+                switch (record.getRecordedCase()) {
+                    case ANSWER ->
+                        new Recorded.Answer(
+                                record.getAnswer().getStatus(),
+                                record.getAnswer().getHeadersList(),
+                                record.getAnswer().getBody().toByteArray());
+                    case NOT_RUN -> new Recorded.NotRun(record.getNotRun());
+                    default -> new Recorded.Unknown(record.getUnknown());
+                };
+        return new KeyLedger.Exported(record.getKey(), record.getFingerprint(), record.getMinute(), recorded);
+    }
+
+    private static Group group(GroupId group) {
+        return Group.newBuilder()
+                .setPool(group.pool())
+                .setRegion(group.region())
+                .build();
+    }
+
+    private static GroupId group(Group group) {
+        return new GroupId(group.getPool(), group.getRegion());
+    }
+
+    private static org.cowsliplatch.wire.Endpoint endpoint(Endpoint endpoint) {
+        return org.cowsliplatch.wire.Endpoint.newBuilder()
+                .setId(endpoint.id())
+                .setAddress(endpoint.address())
+                .setRegion(endpoint.region())
+                .setZone(endpoint.zone())
+                .build();
+    }
+
+    private static Endpoint endpoint(org.cowsliplatch.wire.Endpoint endpoint) {
+        return new Endpoint(endpoint.getId(), endpoint.getAddress(), endpoint.getRegion(), endpoint.getZone());
+    }
+
+    private static <T> T at(T[] values, int index) {
+        if (index < 0 || index >= values.length) {
+            throw new IndexOutOfBoundsException(index);
+        }
+        return values[index];
+    }
+}
--- /dev/null
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/platform/HttpInstanceList.java
@@ -0,0 +1,48 @@
+package org.cowsliplatch.internal.platform;
+
+import java.io.IOException;
+import java.net.URI;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import org.cowsliplatch.errors.PlatformUnavailableException;
+import org.cowsliplatch.internal.util.Json;
+import org.cowsliplatch.platform.Instance;
+import org.cowsliplatch.platform.InstanceList;
+import org.eclipse.jetty.client.ContentResponse;
+import org.eclipse.jetty.client.HttpClient;
+
+/** Instance list behind HTTP and JSON. */
+public final class HttpInstanceList implements InstanceList {
+    private static final String PATH = "/instances";
+
+    /**
+     * Instances of one answer.
+     *
+     * @param instances all instances
+     */
+    public record Instances(List<Instance> instances) {}
+
+    private final PlatformHttp http;
+
+    /**
+     * Creates an adapter.
+     *
+     * @param client started HTTP client
+     * @param base address of the service
+     * @param timeout longest wait for an answer
+     */
+    public HttpInstanceList(HttpClient client, URI base, Duration timeout) {
+        this.http = new PlatformHttp(client, base, "instance list", timeout);
+    }
+
+    @Override
+    public List<Instance> instances() throws PlatformUnavailableException {
+        ContentResponse response = http.read(PATH, Map.of());
+        try {
+            return Json.read(response.getContent(), Instances.class).instances();
+        } catch (IOException e) {
+            throw http.damaged(PATH, e);
+        }
+    }
+}
--- /dev/null
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/platform/HttpObjectStore.java
@@ -0,0 +1,49 @@
+package org.cowsliplatch.internal.platform;
+
+import java.net.URI;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import org.cowsliplatch.errors.PlatformUnavailableException;
+import org.cowsliplatch.platform.ObjectStore;
+import org.eclipse.jetty.client.ContentResponse;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.http.HttpStatus;
+
+/** Object store behind HTTP. */
+public final class HttpObjectStore implements ObjectStore {
+    private final PlatformHttp http;
+
+    /**
+     * Creates an adapter.
+     *
+     * @param client started HTTP client
+     * @param base address of the service
+     * @param timeout longest wait for an answer
+     */
+    public HttpObjectStore(HttpClient client, URI base, Duration timeout) {
+        this.http = new PlatformHttp(client, base, "object store", timeout);
+    }
+
+    @Override
+    public Optional<byte[]> read(String name) throws PlatformUnavailableException {
+        ContentResponse response = http.read("/objects/" + name, Map.of());
+        if (response.getStatus() == HttpStatus.NOT_FOUND_404) {
+            return Optional.empty();
+        }
+        return Optional.of(response.getContent());
+    }
+
+    @Override
+    public void write(String name, byte[] content) throws PlatformUnavailableException {
+        try {
+            ContentResponse response = http.write("PUT", "/objects/" + name, content, "application/octet-stream");
+            if (!HttpStatus.isSuccess(response.getStatus())) {
+                throw new PlatformUnavailableException(
+                        http.service(), "PUT " + name + " was answered " + response.getStatus(), null);
+            }
+        } catch (PlatformHttp.LostAnswerException e) {
+            throw new PlatformUnavailableException(http.service(), "PUT " + name, e);
+        }
+    }
+}
--- /dev/null
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/platform/HttpPlatform.java
@@ -0,0 +1,50 @@
+package org.cowsliplatch.internal.platform;
+
+import org.cowsliplatch.errors.EntryStartException;
+import org.cowsliplatch.platform.PlatformServices;
+import org.cowsliplatch.settings.Settings;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.util.component.LifeCycle;
+
+/** The platform's services behind HTTP, with the client they share. */
+public final class HttpPlatform implements AutoCloseable {
+    private final HttpClient client;
+    private final PlatformServices services;
+
+    private HttpPlatform(HttpClient client, PlatformServices services) {
+        this.client = client;
+        this.services = services;
+    }
+
+    /**
+     * Starts a client for the services that the settings name.
+     *
+     * @throws EntryStartException if the client can't start
+     */
+    public static HttpPlatform start(Settings.Platform settings) throws EntryStartException {
+        HttpClient client = new HttpClient();
+        client.setConnectTimeout(settings.timeout().toMillis());
+        client.setFollowRedirects(false);
+        try {
+            client.start();
+        } catch (Exception e) {
+            throw new EntryStartException("the HTTP client for the platform can't start", e);
+        }
+        PlatformServices services = new PlatformServices(
+                new HttpTableService(client, settings.tableService(), settings.timeout()),
+                new HttpObjectStore(client, settings.objectStore(), settings.timeout()),
+                new HttpInstanceList(client, settings.instanceList(), settings.timeout()),
+                new HttpMeasurements(client, settings.measurements(), settings.timeout()));
+        return new HttpPlatform(client, services);
+    }
+
+    /** Returns the services. */
+    public PlatformServices services() {
+        return services;
+    }
+
+    @Override
+    public void close() {
+        LifeCycle.stop(client);
+    }
+}
--- /dev/null
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Exchange.java
@@ -0,0 +1,417 @@
+package org.cowsliplatch.internal.proxy;
+
+import io.opentelemetry.api.trace.Span;
+import io.opentelemetry.api.trace.SpanKind;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.cowsliplatch.internal.limit.GroupId;
+import org.cowsliplatch.internal.limit.Refusal;
+import org.cowsliplatch.internal.limit.RetryBudget;
+import org.cowsliplatch.internal.limit.SlotOutcome;
+import org.cowsliplatch.internal.limit.SlotSource;
+import org.cowsliplatch.internal.once.Recorded;
+import org.cowsliplatch.internal.telemetry.Tracing;
+import org.cowsliplatch.table.Pool;
+import org.cowsliplatch.table.Route;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.Promise;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One request of a caller, from its arrival to the end of its answer.
+ *
+ * <p>The steps follow each other on whatever thread brings the next event; no two run at the same time.
+ */
+final class Exchange {
+    /** Longest body that is held in memory while the request waits for a slot. */
+    private static final int MOST_HELD_BYTES = 64 * 1024;
+
+    private final EntryContext context;
+    private final Route route;
+    private final Pool pool;
+    private final Request request;
+    private final Response response;
+    private final Callback callback;
+    private final Span span;
+    private final long startNanos;
+    private final long deadlineNanos;
+    private final RetryBudget retryBudget;
+    private final AtomicBoolean finished = new AtomicBoolean();
+    private final KeyStep keyStep;
+    private RequestBody body = new RequestBody.Held(new byte[0]);
+    private @Nullable AnswerSink sink;
+    private volatile SlotSource.@Nullable Ticket ticket;
+    private volatile @Nullable Attempt attempt;
+    private volatile boolean callerGone;
+    private int attempts;
+    private boolean anyMayHaveRun;
+
+    Exchange(EntryContext context, Route route, Pool pool, Request request, Response response, Callback callback) {
+        this.context = context;
+        this.route = route;
+        this.pool = pool;
+        this.request = request;
+        this.response = response;
+        this.callback = callback;
+        this.startNanos = context.ticker().nanos();
+        this.deadlineNanos = startNanos + TimeUnit.MILLISECONDS.toNanos(timeoutMs(request, route));
+        this.retryBudget = context.retries().of(pool.name(), route.rank());
+        this.span = context.tracing()
+                .receive(
+                        request.getHeaders(),
+                        request.getMethod(),
+                        String.valueOf(request.getHttpURI().getPath()));
+        this.keyStep = new KeyStep(context, this);
+        span.setAttribute("cowsliplatch.route", route.name());
+        span.setAttribute("cowsliplatch.rank", route.rank().text());
+    }
+
+    private static long timeoutMs(Request request, Route route) {
+        long limit = route.timeout().toMillis();
+        String asked = request.getHeaders().get(Headers.TIMEOUT_MS);
+        return asked == null ? limit : Math.max(1, Math.min(limit, Long.parseLong(asked)));
+    }
+
+    void start() {
+        request.addFailureListener(this::onCallerGone);
+        retryBudget.earn();
+        boolean expects = request.getHeaders().contains(HttpHeader.EXPECT);
+        long length = request.getLength();
+        if (length == 0 || isWithoutBody()) {
+            keyStep.start();
+        } else if (length > 0 && length <= MOST_HELD_BYTES && !expects) {
+            holdBody();
+        } else {
+            body = new RequestBody.Streamed(new LimitedSource(request, context.bodyBytes()));
+            keyStep.start();
+        }
+    }
+
+    /** Returns the headers of the caller's request. */
+    HttpFields headers() {
+        return request.getHeaders();
+    }
+
+    Route route() {
+        return route;
+    }
+
+    Span span() {
+        return span;
+    }
+
+    RequestBody body() {
+        return body;
+    }
+
+    /** Returns the time left in ms, negative if it is past. */
+    long leftMs() {
+        return TimeUnit.NANOSECONDS.toMillis(deadlineNanos - context.ticker().nanos());
+    }
+
+    /** Returns what copies of this request have in common. */
+    String fingerprint() {
+        String place = request.getMethod() + " " + request.getHttpURI().getPathQuery() + " " + request.getLength();
+        if (body instanceof RequestBody.Held held) {
+            return place + " " + Integer.toHexString(java.util.Arrays.hashCode(held.bytes()));
+        }
+        return place;
+    }
+
+    /** Asks for a slot and sends the request. */
+    void acquire() {
+        if (callerGone) {
+            finish(Problem.of(HttpStatus.REQUEST_TIMEOUT_408, Outcome.NOT_RUN, "the caller went away"));
+            return;
+        }
+        Optional<String> region =
+                context.regions().choose(pool, context.view().get().endpoints());
+        if (region.isEmpty()) {
+            refuse(Refusal.NO_ENDPOINT);
+            return;
+        }
+        Span queue = context.tracing().child(span, "queue", SpanKind.INTERNAL);
+        long since = context.ticker().nanos();
+        GroupId group = new GroupId(pool.name(), region.get());
+        ticket = context.slots().acquire(group, route.rank(), deadlineNanos, new SlotSource.Waiter() {
+            @Override
+            public void granted(SlotSource.Lease lease) {
+                context.metrics().queueWait(route.rank(), (context.ticker().nanos() - since) / 1e9);
+                queue.setAttribute("cowsliplatch.endpoint", lease.endpoint().id());
+                queue.end();
+                send(lease);
+            }
+
+            @Override
+            public void refused(Refusal why) {
+                Tracing.fail(queue, why.text());
+                refuse(why);
+            }
+        });
+    }
+
+    private boolean isWithoutBody() {
+        boolean chunked = request.getHeaders().contains(HttpHeader.TRANSFER_ENCODING);
+        boolean http2 = request.getConnectionMetaData().getHttpVersion().getVersion() >= 20;
+        return request.getLength() < 0 && !chunked && !http2;
+    }
+
+    private void holdBody() {
+        Content.Source.asByteArrayAsync(request, MOST_HELD_BYTES, new Promise.Invocable<>() {
+            @Override
+            public void succeeded(byte[] bytes) {
+                body = new RequestBody.Held(bytes);
+                keyStep.start();
+            }
+
+            @Override
+            public void failed(Throwable failure) {
+                finish(Problem.of(
+                        HttpStatus.BAD_REQUEST_400, Outcome.NOT_RUN, "the request body ended before its end"));
+            }
+
+            @Override
+            public InvocationType getInvocationType() {
+                return InvocationType.NON_BLOCKING;
+            }
+        });
+    }
+
+    private void refuse(Refusal why) {
+        context.metrics().refusal(route.rank(), why.name());
+        if (anyMayHaveRun) {
+            finish(afterAttempts("no further attempt was possible: " + why.text()));
+            return;
+        }
+        finish(Problem.busy(Outcome.NOT_RUN, why.text()));
+    }
+
+    private void send(SlotSource.Lease lease) {
+        long left = leftMs();
+        if (left <= 0 || callerGone) {
+            lease.release(SlotOutcome.UNUSED);
+            refuse(callerGone ? Refusal.CANCELLED : Refusal.TOO_LATE);
+            return;
+        }
+        attempts++;
+        Span attemptSpan = context.tracing().child(span, "attempt", SpanKind.CLIENT);
+        attemptSpan.setAttribute("cowsliplatch.endpoint", lease.endpoint().id());
+        attemptSpan.setAttribute("server.address", lease.endpoint().address());
+        long attemptMs = RetryPolicy.attemptMs(route.idempotent() && body.isSendable(), attempts - 1, left);
+        boolean provenOnly = !route.idempotent() || attempts > 1;
+        org.eclipse.jetty.client.Request out;
+        try {
+            out = outgoing(lease.endpoint().address(), provenOnly, attemptSpan, left);
+        } catch (IllegalArgumentException e) {
+            lease.release(SlotOutcome.UNUSED);
+            Tracing.fail(attemptSpan, "bad address");
+            finish(Problem.of(
+                    HttpStatus.BAD_REQUEST_400,
+                    Outcome.NOT_RUN,
+                    "the address has a character that must be " + "escaped; write it as % and two digits"));
+            return;
+        }
+        Attempt next =
+                new Attempt(context.client(), lease.endpoint().address(), new AttemptListener(lease, attemptSpan));
+        attempt = next;
+        next.send(out, body, request.getHeaders().get(HttpHeader.CONTENT_TYPE), attemptMs);
+    }
+
+    /** Returns the request for the next hop. */
+    org.eclipse.jetty.client.Request outgoing(String address, boolean provenOnly, Span hop, long left) {
+        String pathQuery = request.getHttpURI().getPathQuery();
+        HttpFields headers = Headers.endToEnd(request.getHeaders());
+        return context.client()
+                .request(address, pathQuery == null ? "/" : pathQuery, provenOnly)
+                .method(request.getMethod())
+                .headers(fields -> {
+                    fields.add(headers);
+                    fields.put(HttpHeader.HOST, hostOf(request));
+                    fields.remove(HttpHeader.CONTENT_LENGTH);
+                    fields.put(Headers.TIMEOUT_MS, Long.toString(left));
+                    context.tracing().inject(hop, fields::put);
+                });
+    }
+
+    private static String hostOf(Request request) {
+        String authority = request.getHttpURI().getAuthority();
+        String host = request.getHeaders().get(HttpHeader.HOST);
+        return host != null ? host : String.valueOf(authority);
+    }
+
+    private void onCallerGone(Throwable cause) {
+        callerGone = true;
+        SlotSource.Ticket waiting = ticket;
+        if (waiting != null) {
+            waiting.cancel();
+        }
+        Attempt running = attempt;
+        if (running != null && !keyStep.isRecording()) {
+            running.cancel(new Attempt.CallerGoneException(cause));
+        }
+    }
+
+    /** Returns the sink for the answer: the caller, and the record if the request has a key. */
+    AnswerSink openSink(int status, HttpFields headers) {
+        response.setStatus(status);
+        response.getHeaders().add(Headers.endToEnd(headers));
+        AnswerSink opened = new AnswerSink(response, keyStep.isRecording());
+        sink = opened;
+        return opened;
+    }
+
+    /** Ends the request after its whole answer was written. */
+    void finishAnswered(int status, HttpFields headers) {
+        if (!finished.compareAndSet(false, true)) {
+            return;
+        }
+        AnswerSink written = sink;
+        byte[] kept = written == null ? null : written.kept();
+        keyStep.record(
+                kept == null
+                        ? new Recorded.Unknown("the request ran, but its answer was too long to keep")
+                        : new Recorded.Answer(status, pairs(headers), kept));
+        close("answered");
+        if (written != null && written.isCallerGone()) {
+            callback.failed(new Attempt.CallerGoneException(null));
+        } else {
+            callback.succeeded();
+        }
+    }
+
+    /** Ends the request with a problem, or with a cut connection if an answer was begun. */
+    void finish(Problem problem) {
+        if (!finished.compareAndSet(false, true)) {
+            return;
+        }
+        keyStep.record(
+                problem.outcome() == Outcome.NOT_RUN
+                        ? new Recorded.NotRun(problem.detail())
+                        : new Recorded.Unknown(problem.detail()));
+        close(problem.outcome().text());
+        if (response.isCommitted()) {
+            callback.failed(new IllegalStateException(problem.detail()));
+        } else {
+            problem.write(response, callback);
+        }
+    }
+
+    /** Ends the request with a recorded answer. */
+    void finishReplayed(Recorded.Answer answer) {
+        if (!finished.compareAndSet(false, true)) {
+            return;
+        }
+        close("replayed");
+        response.setStatus(answer.status());
+        for (int i = 0; i + 1 < answer.headers().size(); i += 2) {
+            response.getHeaders().add(answer.headers().get(i), answer.headers().get(i + 1));
+        }
+        response.getHeaders().put(Headers.REPLAYED, "yes");
+        response.write(true, java.nio.ByteBuffer.wrap(answer.body()), callback);
+    }
+
+    private void close(String outcome) {
+        double seconds = (context.ticker().nanos() - startNanos) / 1e9;
+        context.metrics().request(route.rank(), outcome, seconds);
+        span.setAttribute("cowsliplatch.outcome", outcome);
+        span.end();
+    }
+
+    private Problem afterAttempts(String detail) {
+        if (!anyMayHaveRun) {
+            return Problem.busy(Outcome.NOT_RUN, detail);
+        }
+        Outcome outcome = route.idempotent() ? Outcome.FAILED : Outcome.UNKNOWN;
+        int status = leftMs() <= 0 ? HttpStatus.GATEWAY_TIMEOUT_504 : HttpStatus.BAD_GATEWAY_502;
+        return new Problem(status, detail, outcome, route.idempotent() ? 1 : 0);
+    }
+
+    private static List<String> pairs(HttpFields headers) {
+        List<String> pairs = new ArrayList<>();
+        for (HttpField field : Headers.endToEnd(headers)) {
+            pairs.add(field.getName());
+            pairs.add(String.valueOf(field.getValue()));
+        }
+        return pairs;
+    }
+
+    /** Returns a random value that no other exchange has. */
+    static String nonce() {
+        byte[] bytes = new byte[12];
+        java.util.concurrent.ThreadLocalRandom.current().nextBytes(bytes);
+        return HexFormat.of().formatHex(bytes);
+    }
+
+    /** Follows one attempt at an endpoint. */
+    private final class AttemptListener implements Attempt.Listener {
+        private final SlotSource.Lease lease;
+        private final Span attemptSpan;
+        private int status;
+
+        AttemptListener(SlotSource.Lease lease, Span attemptSpan) {
+            this.lease = lease;
+            this.attemptSpan = attemptSpan;
+        }
+
+        @Override
+        public boolean accepts(org.eclipse.jetty.client.Response answer) {
+            return true;
+        }
+
+        @Override
+        public void onAnswer(org.eclipse.jetty.client.Response answer, Content.Source content, Callback copied) {
+            status = answer.getStatus();
+            Content.copy(content, openSink(status, answer.getHeaders()), copied);
+        }
+
+        @Override
+        public void onCopied(HttpFields headers) {
+            boolean leaving = Headers.isYes(headers, Headers.LEAVING);
+            lease.release(leaving ? SlotOutcome.LEAVING : SlotOutcome.ANSWERED);
+            attemptSpan.setAttribute("http.response.status_code", (long) status);
+            attemptSpan.end();
+            context.metrics().attempt(pool.name(), "answered");
+            finishAnswered(status, headers);
+        }
+
+        @Override
+        public void onFailed(AttemptResult result, boolean answerBegun) {
+            lease.release(result.kind().slotOutcome());
+            Tracing.fail(attemptSpan, result.detail());
+            context.metrics().attempt(pool.name(), result.kind().name());
+            anyMayHaveRun |= !result.kind().isProvenNotRun();
+            if (response.isCommitted()) {
+                finish(afterAttempts(result.detail()));
+                return;
+            }
+            boolean again = body.isSendable()
+                    && RetryPolicy.repeat(result, route.idempotent(), attempts, leftMs(), retryBudget);
+            if (again) {
+                response.reset();
+                context.metrics().retry(pool.name());
+                acquire();
+                return;
+            }
+            finish(failure(result));
+        }
+
+        private Problem failure(AttemptResult result) {
+            if (result.kind() == AttemptResult.Kind.BODY_FAILED) {
+                Outcome outcome = route.idempotent() ? Outcome.FAILED : Outcome.UNKNOWN;
+                return Problem.of(HttpStatus.BAD_REQUEST_400, outcome, "the request body failed: " + result.detail());
+            }
+            return afterAttempts(result.detail());
+        }
+    }
+}
--- /dev/null
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/ProblemErrorHandler.java
@@ -0,0 +1,35 @@
+package org.cowsliplatch.internal.proxy;
+
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.handler.ErrorHandler;
+import org.eclipse.jetty.util.Callback;
+import org.jspecify.annotations.Nullable;
+
+/** Writes the errors that the HTTP server itself finds in the form of {@link Problem}. */
+public final class ProblemErrorHandler extends ErrorHandler {
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) {
+        int status = response.getStatus();
+        int shown = status < HttpStatus.BAD_REQUEST_400 ? HttpStatus.INTERNAL_SERVER_ERROR_500 : status;
+        problem(shown, reason(request)).write(response, callback);
+        return true;
+    }
+
+    private static @Nullable String reason(Request request) {
+        Object message = request.getAttribute(ERROR_MESSAGE);
+        return message == null ? null : message.toString();
+    }
+
+    private static Problem problem(int status, @Nullable String reason) {
+        Outcome outcome = status < HttpStatus.INTERNAL_SERVER_ERROR_500 ? Outcome.NOT_RUN : Outcome.UNKNOWN;
+        String detail =
+                switch (status) {
+                    case HttpStatus.REQUEST_HEADER_FIELDS_TOO_LARGE_431 -> "the request header is too long; shorten it";
+                    case HttpStatus.URI_TOO_LONG_414 -> "the address is too long; shorten it";
+                    default -> reason == null ? "the request can't be read" : "the request can't be read: " + reason;
+                };
+        return Problem.of(status, outcome, detail);
+    }
+}
--- /dev/null
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/RetryPolicy.java
@@ -0,0 +1,42 @@
+package org.cowsliplatch.internal.proxy;
+
+import org.cowsliplatch.internal.limit.RetryBudget;
+
+/** Decides whether a failed attempt is repeated. */
+final class RetryPolicy {
+    /** Most attempts at one request. */
+    static final int MOST_ATTEMPTS = 3;
+
+    /** Least time in ms that must be left for another attempt. */
+    private static final long LEAST_LEFT_MS = 5;
+
+    /** Share of the time left that the first attempts at an idempotent request may take. */
+    private static final double ATTEMPT_SHARE = 0.4;
+
+    private RetryPolicy() {}
+
+    /**
+     * Returns whether to try again; spends budget if so.
+     *
+     * @param result how the attempt ended
+     * @param idempotent whether the request may run more than once
+     * @param attempts attempts made so far
+     * @param leftMs time left in ms
+     * @param budget budget of the pool and rank
+     */
+    static boolean repeat(AttemptResult result, boolean idempotent, int attempts, long leftMs, RetryBudget budget) {
+        if (!result.kind().isRepeatable() || attempts >= MOST_ATTEMPTS || leftMs < LEAST_LEFT_MS) {
+            return false;
+        }
+        if (!idempotent && !result.kind().isProvenNotRun()) {
+            return false;
+        }
+        return budget.trySpend();
+    }
+
+    /** Returns the longest time in ms for the next attempt, so that time remains for another where one is allowed. */
+    static long attemptMs(boolean mayRepeat, int attempts, long leftMs) {
+        boolean last = !mayRepeat || attempts + 1 >= MOST_ATTEMPTS;
+        return Math.max(1, last ? leftMs : (long) (leftMs * ATTEMPT_SHARE));
+    }
+}
--- /dev/null
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/settings/package-info.java
@@ -0,0 +1,5 @@
+/** Reading of the settings file. */
+@NullMarked
+package org.cowsliplatch.internal.settings;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/steer/EntryLookup.java
@@ -0,0 +1,83 @@
+package org.cowsliplatch.internal.steer;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.cowsliplatch.internal.member.Member;
+import org.cowsliplatch.table.Pool;
+import org.cowsliplatch.table.Route;
+
+/** Answers which entry instances a caller should use for a route. */
+public final class EntryLookup {
+    /** Smallest weight of a live entry instance, so that an answer is never empty while one lives. */
+    private static final int LEAST_WEIGHT = 1;
+
+    private static final int WEIGHT_SCALE = 1_000;
+
+    /**
+     * One entry instance in an answer.
+     *
+     * @param name name
+     * @param address address for callers
+     * @param region region
+     * @param zone availability zone
+     * @param weight share of the requests, relative to the other entries
+     * @param keyPrefix prefix for idempotency keys to use with this entry instance
+     */
+    public record Entry(String name, String address, String region, String zone, int weight, String keyPrefix) {}
+
+    /**
+     * Answer to a look-up.
+     *
+     * @param route name of the route
+     * @param tableVersion version of the tables that the answer follows
+     * @param ttlMs time in ms for which the answer may be used
+     * @param entries entry instances, by descending weight
+     */
+    public record Answer(String route, long tableVersion, long ttlMs, List<Entry> entries) {
+        /** Copies the entries. */
+        public Answer {
+            entries = List.copyOf(entries);
+        }
+    }
+
+    private final long ttlMs;
+
+    /**
+     * Creates a look-up.
+     *
+     * @param ttl time for which answers may be used
+     */
+    public EntryLookup(Duration ttl) {
+        this.ttlMs = ttl.toMillis();
+    }
+
+    /** Returns the answer for a route: entry instances weighted by their region's share of the pool. */
+    public Answer answer(Route route, Pool pool, SteeringView view) {
+        List<Member> usable = usable(view.members());
+        Map<String, Integer> inRegion = new TreeMap<>();
+        for (Member member : usable) {
+            inRegion.merge(member.region(), 1, Integer::sum);
+        }
+        List<Entry> entries = new ArrayList<>();
+        for (Member member : usable) {
+            double share = pool.share(member.region()) / inRegion.getOrDefault(member.region(), 1);
+            int weight = Math.max(LEAST_WEIGHT, (int) Math.round(share * WEIGHT_SCALE));
+            entries.add(new Entry(
+                    member.name(), member.callerAddress(), member.region(), member.zone(), weight, member.keyPrefix()));
+        }
+        entries.sort(Comparator.comparingInt((Entry entry) -> -entry.weight()).thenComparing(Entry::name));
+        return new Answer(route.name(), view.tables().number(), ttlMs, entries);
+    }
+
+    /** Returns the members that have tables and are not leaving, or all of them if there is none. */
+    private static List<Member> usable(List<Member> members) {
+        List<Member> usable = members.stream()
+                .filter(member -> !member.leaving() && member.tableVersion() > 0)
+                .toList();
+        return usable.isEmpty() ? members : usable;
+    }
+}
--- /dev/null
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/steer/RouteMatcher.java
@@ -0,0 +1,48 @@
+package org.cowsliplatch.internal.steer;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import org.cowsliplatch.table.Route;
+import org.cowsliplatch.table.Tables;
+
+/** Finds the route of a request: a named host goes before any host, a longer path prefix before a shorter. */
+public final class RouteMatcher {
+    private static final Comparator<Route> ORDER = Comparator.comparing(
+                    (Route route) -> route.host().equals("*"))
+            .thenComparing(route -> -route.pathPrefix().length())
+            .thenComparing(Route::name);
+
+    private final List<Route> routes;
+
+    /** Creates a matcher of the routes in these tables. */
+    public RouteMatcher(Tables tables) {
+        List<Route> sorted = new ArrayList<>(tables.routes().values());
+        sorted.sort(ORDER);
+        this.routes = List.copyOf(sorted);
+    }
+
+    /** Returns the route of a request, or empty if none matches. */
+    public Optional<Route> match(String host, String method, String path) {
+        for (Route route : routes) {
+            if (route.matches(host, method, path)) {
+                return Optional.of(route);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Returns the methods that some route allows for a host and path, sorted. */
+    public Set<String> methods(String host, String path) {
+        TreeSet<String> methods = new TreeSet<>();
+        for (Route route : routes) {
+            if (route.matchesPath(host, path)) {
+                methods.addAll(route.methods());
+            }
+        }
+        return methods;
+    }
+}
--- /dev/null
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/table/TableHead.java
@@ -0,0 +1,13 @@
+package org.cowsliplatch.internal.table;
+
+/**
+ * The row that says which version is accepted.
+ *
+ * @param version number of the version
+ * @param editId id of the edit that made it
+ * @param digest digest of its tables
+ */
+public record TableHead(long version, String editId, String digest) {
+    /** Head of an empty store. */
+    public static final TableHead NONE = new TableHead(0, "", "");
+}
--- /dev/null
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/util/Json.java
@@ -0,0 +1,65 @@
+package org.cowsliplatch.internal.util;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+
+/** The one JSON mapper of the library; unknown fields are refused. */
+public final class Json {
+    /** Mapper for values that processes exchange. */
+    public static final ObjectMapper MAPPER = JsonMapper.builder()
+            .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+            .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+            .build();
+
+    private Json() {}
+
+    /** Returns a value as JSON text. */
+    public static String text(Object value) {
+        try {
+            return MAPPER.writeValueAsString(value);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("value of " + value.getClass().getSimpleName() + " has no JSON form", e);
+        }
+    }
+
+    /** Returns a value as indented JSON text. */
+    public static String indented(Object value) {
+        try {
+            return MAPPER.writerWithDefaultPrettyPrinter().writeValueAsString(value);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("value of " + value.getClass().getSimpleName() + " has no JSON form", e);
+        }
+    }
+
+    /** Returns a value as JSON in UTF-8. */
+    public static byte[] bytes(Object value) {
+        return text(value).getBytes(StandardCharsets.UTF_8);
+    }
+
+    /**
+     * Reads a value.
+     *
+     * @throws IOException if the text is no JSON or does not fit the type
+     */
+    public static <T> T read(String text, Class<T> type) throws IOException {
+        T value = MAPPER.readValue(text, type);
+        if (value == null) {
+            throw new IOException("null in place of " + type.getSimpleName());
+        }
+        return value;
+    }
+
+    /**
+     * Reads a value from UTF-8.
+     *
+     * @throws IOException if the text is no JSON or does not fit the type
+     */
+    public static <T> T read(byte[] text, Class<T> type) throws IOException {
+        return read(new String(text, StandardCharsets.UTF_8), type);
+    }
+}
--- /dev/null
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/util/Rendezvous.java
@@ -0,0 +1,53 @@
+package org.cowsliplatch.internal.util;
+
+import java.util.Collection;
+import java.util.Optional;
+
+/** Highest-random-weight hashing: each key belongs to one candidate, and few keys move when candidates change. */
+public final class Rendezvous {
+    private static final long FNV_OFFSET = 0xcbf29ce484222325L;
+    private static final long FNV_PRIME = 0x100000001b3L;
+
+    private Rendezvous() {}
+
+    /** Returns the candidate that a key belongs to, or empty without candidates. */
+    public static Optional<String> owner(String key, Collection<String> candidates) {
+        String best = null;
+        long bestWeight = 0;
+        for (String candidate : candidates) {
+            long weight = weight(key, candidate);
+            boolean higher = best == null
+                    || Long.compareUnsigned(weight, bestWeight) > 0
+                    || (weight == bestWeight && candidate.compareTo(best) < 0);
+            if (higher) {
+                best = candidate;
+                bestWeight = weight;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    private static long weight(String key, String candidate) {
+        long hash = FNV_OFFSET;
+        hash = update(hash, key);
+        hash = (hash ^ '/') * FNV_PRIME;
+        hash = update(hash, candidate);
+        return mix(hash);
+    }
+
+    private static long update(long hash, String text) {
+        long h = hash;
+        for (int i = 0; i < text.length(); i++) {
+            h = (h ^ text.charAt(i)) * FNV_PRIME;
+        }
+        return h;
+    }
+
+    /** Spreads the bits, as the finalizer of SplitMix64 does. */
+    private static long mix(long hash) {
+        long h = hash;
+        h = (h ^ (h >>> 30)) * 0xbf58476d1ce4e5b9L;
+        h = (h ^ (h >>> 27)) * 0x94d049bb133111ebL;
+        return h ^ (h >>> 31);
+    }
+}
--- /dev/null
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/platform/PlatformServices.java
@@ -0,0 +1,12 @@
+package org.cowsliplatch.platform;
+
+/**
+ * The platform's services that an entry instance uses.
+ *
+ * @param tables table service
+ * @param objects object store
+ * @param instances instance list
+ * @param measurements measurements of links
+ */
+public record PlatformServices(
+        TableService tables, ObjectStore objects, InstanceList instances, Measurements measurements) {}
--- /dev/null
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/settings/SettingsReader.java
@@ -0,0 +1,39 @@
+package org.cowsliplatch.settings;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.cowsliplatch.errors.SettingsInvalidException;
+import org.cowsliplatch.internal.settings.SettingsCheck;
+
+/** Reads settings from JSON with comments. */
+public final class SettingsReader {
+    private SettingsReader() {}
+
+    /**
+     * Reads and checks a settings file as a whole.
+     *
+     * @param file path of the file; relative paths in it start from its folder
+     * @throws SettingsInvalidException if the file can't be read or breaks any rule; lists every problem
+     */
+    public static Settings read(Path file) throws SettingsInvalidException {
+        try {
+            return parse(Files.readString(file), file);
+        } catch (IOException e) {
+            throw new SettingsInvalidException(
+                    List.of(file + ": can't be read (" + e.getMessage() + "); check the path and its permissions"));
+        }
+    }
+
+    /**
+     * Checks settings as a whole.
+     *
+     * @param text content of the file
+     * @param file path for messages; relative paths in the settings start from its folder
+     * @throws SettingsInvalidException if any rule is broken; lists every problem
+     */
+    public static Settings parse(String text, Path file) throws SettingsInvalidException {
+        return SettingsCheck.parse(text, file);
+    }
+}
