Prove steering and at most once under failures, mend what they found

Found and mended: - A table change could not be read back from the store: a boolean query of a value type was written as a field of its own and then refused. Such methods are no longer fields, and damage of the store is logged as a warning. - A repeat could go to the endpoint that had just failed the request: with 2 of 3 endpoints closing connections a look-up got 502. Asks now name the endpoints to avoid. - Error details showed internals of the HTTP client.

Ruled out: the retry budget; it was never exhausted in these runs.

--- a/org.cowsliplatch.standin/src/main/java/org/cowsliplatch/standin/BackendServer.java
+++ b/org.cowsliplatch.standin/src/main/java/org/cowsliplatch/standin/BackendServer.java
@@ -201,7 +201,13 @@
         private void answer(Manner now, Request request, long read, Response response, Callback callback) {
             switch (now) {
                 case HANG -> {}
-                case CLOSE -> callback.failed(new IOException("told to close"));
+                case CLOSE -> {
+                    request.getConnectionMetaData()
+                            .getConnection()
+                            .getEndPoint()
+                            .close();
+                    callback.failed(new IOException("told to close"));
+                }
                 case CUT -> {
                     response.getHeaders().put(HttpHeader.CONTENT_LENGTH, 1_000L);
                     response.write(
--- /dev/null
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/Await.java
@@ -0,0 +1,24 @@
+package org.cowsliplatch.test;
+
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+
+/** Waits for a state that other threads bring about, without a fixed pause. */
+public final class Await {
+    private static final long LONGEST_NANOS = TimeUnit.SECONDS.toNanos(8);
+    private static final long POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
+
+    private Await() {}
+
+    /** Returns once a condition holds; fails if it does not within 8 s. */
+    public static void until(String what, BooleanSupplier condition) {
+        long deadline = System.nanoTime() + LONGEST_NANOS;
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > deadline) {
+                throw new AssertionError("not within 8 s: " + what);
+            }
+            LockSupport.parkNanos(POLL_NANOS);
+        }
+    }
+}
--- a/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/SlotAsk.java
+++ b/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/SlotAsk.java
@@ -29,6 +29,8 @@
   }
   private SlotAsk() {
     zone_ = "";
+    avoid_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -159,6 +161,43 @@
     return leftNanos_;
   }
 
+  public static final int AVOID_FIELD_NUMBER = 7;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList avoid_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <code>repeated string avoid = 7;</code>
+   * @return A list containing the avoid.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getAvoidList() {
+    return avoid_;
+  }
+  /**
+   * <code>repeated string avoid = 7;</code>
+   * @return The count of avoid.
+   */
+  public int getAvoidCount() {
+    return avoid_.size();
+  }
+  /**
+   * <code>repeated string avoid = 7;</code>
+   * @param index The index of the element to return.
+   * @return The avoid at the given index.
+   */
+  public java.lang.String getAvoid(int index) {
+    return avoid_.get(index);
+  }
+  /**
+   * <code>repeated string avoid = 7;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the avoid at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getAvoidBytes(int index) {
+    return avoid_.getByteString(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -191,6 +230,9 @@
     if (leftNanos_ != 0L) {
       output.writeInt64(6, leftNanos_);
     }
+    for (int i = 0; i < avoid_.size(); i++) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 7, avoid_.getRaw(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -218,6 +260,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(6, leftNanos_);
     }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < avoid_.size(); i++) {
+        dataSize += computeStringSizeNoTag(avoid_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getAvoidList().size();
+    }
     return size;
   }
   @java.lang.Override
@@ -257,6 +307,8 @@
         != other.getWaitedNanos()) return false;
     if (getLeftNanos()
         != other.getLeftNanos()) return false;
+    if (!getAvoidList()
+        .equals(other.getAvoidList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -285,6 +337,10 @@
     hash = (37 * hash) + LEFT_NANOS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getLeftNanos());
+    if (getAvoidCount() > 0) {
+      hash = (37 * hash) + AVOID_FIELD_NUMBER;
+      hash = (53 * hash) + getAvoidList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -432,6 +488,8 @@
       zone_ = "";
       waitedNanos_ = 0L;
       leftNanos_ = 0L;
+      avoid_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
       return this;
     }
 
@@ -487,6 +545,10 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.leftNanos_ = leftNanos_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        avoid_.makeImmutable();
+        result.avoid_ = avoid_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -522,6 +584,16 @@
       if (other.getLeftNanos() != 0L) {
         setLeftNanos(other.getLeftNanos());
       }
+      if (!other.avoid_.isEmpty()) {
+        if (avoid_.isEmpty()) {
+          avoid_ = other.avoid_;
+          bitField0_ |= 0x00000040;
+        } else {
+          ensureAvoidIsMutable();
+          avoid_.addAll(other.avoid_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -578,6 +650,11 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 48
+            case 58: {
+              ensureAvoidIsMutable();
+              avoid_.add(input.readStringRequireUtf8());
+              break;
+            } // case 58
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -914,6 +991,117 @@
       return this;
     }
 
+    private com.google.protobuf.LazyStringArrayList avoid_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureAvoidIsMutable() {
+      if (!avoid_.isModifiable()) {
+        avoid_ = new com.google.protobuf.LazyStringArrayList(avoid_);
+      }
+      bitField0_ |= 0x00000040;
+    }
+    /**
+     * <code>repeated string avoid = 7;</code>
+     * @return A list containing the avoid.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getAvoidList() {
+      avoid_.makeImmutable();
+      return avoid_;
+    }
+    /**
+     * <code>repeated string avoid = 7;</code>
+     * @return The count of avoid.
+     */
+    public int getAvoidCount() {
+      return avoid_.size();
+    }
+    /**
+     * <code>repeated string avoid = 7;</code>
+     * @param index The index of the element to return.
+     * @return The avoid at the given index.
+     */
+    public java.lang.String getAvoid(int index) {
+      return avoid_.get(index);
+    }
+    /**
+     * <code>repeated string avoid = 7;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the avoid at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getAvoidBytes(int index) {
+      return avoid_.getByteString(index);
+    }
+    /**
+     * <code>repeated string avoid = 7;</code>
+     * @param index The index to set the value at.
+     * @param value The avoid to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAvoid(
+        int index, java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      ensureAvoidIsMutable();
+      avoid_.set(index, value);
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated string avoid = 7;</code>
+     * @param value The avoid to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAvoid(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      ensureAvoidIsMutable();
+      avoid_.add(value);
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated string avoid = 7;</code>
+     * @param values The avoid to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllAvoid(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureAvoidIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, avoid_);
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated string avoid = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAvoid() {
+      avoid_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00000040);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated string avoid = 7;</code>
+     * @param value The bytes of the avoid to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAvoidBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      ensureAvoidIsMutable();
+      avoid_.add(value);
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cowsliplatch.peer.SlotAsk)
   }
 
--- a/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/SlotAskOrBuilder.java
+++ b/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/SlotAskOrBuilder.java
@@ -60,4 +60,29 @@
    * @return The leftNanos.
    */
   long getLeftNanos();
+
+  /**
+   * <code>repeated string avoid = 7;</code>
+   * @return A list containing the avoid.
+   */
+  java.util.List<java.lang.String>
+      getAvoidList();
+  /**
+   * <code>repeated string avoid = 7;</code>
+   * @return The count of avoid.
+   */
+  int getAvoidCount();
+  /**
+   * <code>repeated string avoid = 7;</code>
+   * @param index The index of the element to return.
+   * @return The avoid at the given index.
+   */
+  java.lang.String getAvoid(int index);
+  /**
+   * <code>repeated string avoid = 7;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the avoid at the given index.
+   */
+  com.google.protobuf.ByteString
+      getAvoidBytes(int index);
 }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/Ask.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/Ask.java
@@ -1,5 +1,6 @@
 package org.cowsliplatch.internal.limit;
 
+import java.util.List;
 import org.cowsliplatch.table.Rank;
 
 /**
@@ -11,8 +12,15 @@
  * @param zone availability zone of the holder
  * @param sinceNanos when the request began to wait, on the grantor's clock
  * @param deadlineNanos when the answer is due, on the grantor's clock
+ * @param avoid ids of endpoints that failed this request before
  */
-public record Ask(String holder, long id, Rank rank, String zone, long sinceNanos, long deadlineNanos) {
+public record Ask(
+        String holder, long id, Rank rank, String zone, long sinceNanos, long deadlineNanos, List<String> avoid) {
+    /** Copies the ids. */
+    public Ask {
+        avoid = List.copyOf(avoid);
+    }
+
     /** Returns the time in ns that the request had in all. */
     long budgetNanos() {
         return deadlineNanos - sinceNanos;
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/EndpointSet.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/EndpointSet.java
@@ -96,20 +96,46 @@
         return byId.get(id);
     }
 
-    /** Returns an endpoint of the least occupied, by preference in a zone, or null if no slot is free. */
+    /**
+     * Returns an endpoint of the least occupied, by preference in a zone, or null if no slot is free.
+     *
+     * @param avoid ids of endpoints that are taken only if no other has a free slot
+     */
     @Nullable
-    EndpointSlots pick(String zone) {
+    EndpointSlots pick(String zone, List<String> avoid) {
+        EndpointSlots avoided = null;
         for (List<EndpointSlots> bucket : buckets) {
             if (bucket.isEmpty()) {
                 continue;
             }
-            EndpointSlots pick = bucket.get(random.nextInt(bucket.size()));
-            for (int i = 0; i < PICK_TRIES && !pick.endpoint().zone().equals(zone); i++) {
-                pick = bucket.get(random.nextInt(bucket.size()));
+            EndpointSlots pick = other(bucket, pickFrom(bucket, zone), avoid);
+            if (!avoid.contains(pick.endpoint().id())) {
+                return pick;
             }
+            avoided = pick;
+        }
+        return avoided;
+    }
+
+    private EndpointSlots pickFrom(List<EndpointSlots> bucket, String zone) {
+        EndpointSlots pick = bucket.get(random.nextInt(bucket.size()));
+        for (int i = 0; i < PICK_TRIES && !pick.endpoint().zone().equals(zone); i++) {
+            pick = bucket.get(random.nextInt(bucket.size()));
+        }
+        return pick;
+    }
+
+    /** Returns the pick, or where it is to be avoided the first endpoint of its bucket that is not. */
+    private static EndpointSlots other(List<EndpointSlots> bucket, EndpointSlots pick, List<String> avoid) {
+        if (!avoid.contains(pick.endpoint().id())) {
             return pick;
         }
-        return null;
+        for (EndpointSlots candidate : bucket) {
+            if (!avoid.contains(candidate.endpoint().id())) {
+                return candidate;
+            }
+        }
+        return pick;
     }
 
     void occupy(EndpointSlots endpoint, long now) {
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotBroker.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotBroker.java
@@ -54,6 +54,7 @@
         final Rank rank;
         final long sinceNanos;
         final long deadlineNanos;
+        final List<String> avoid;
         final Waiter waiter;
         final AtomicReference<UseState> state = new AtomicReference<>(UseState.WAITING);
         volatile String grantor = PRIVATE;
@@ -61,17 +62,18 @@
         volatile boolean acknowledged;
         volatile @Nullable Endpoint granted;
 
-        Use(long id, GroupId group, Rank rank, long deadlineNanos, Waiter waiter) {
+        Use(long id, GroupId group, Rank rank, long deadlineNanos, List<String> avoid, Waiter waiter) {
             this.id = id;
             this.group = group;
             this.rank = rank;
             this.sinceNanos = ticker.nanos();
             this.deadlineNanos = deadlineNanos;
+            this.avoid = avoid;
             this.waiter = waiter;
         }
 
         Ask ask() {
-            return new Ask(self, id, rank, zone, sinceNanos, deadlineNanos);
+            return new Ask(self, id, rank, zone, sinceNanos, deadlineNanos, avoid);
         }
 
         @Override
@@ -147,8 +149,8 @@
     }
 
     @Override
-    public Ticket acquire(GroupId group, Rank rank, long deadlineNanos, Waiter waiter) {
-        Use use = new Use(nextAskId.getAndIncrement(), group, rank, deadlineNanos, waiter);
+    public Ticket acquire(GroupId group, Rank rank, long deadlineNanos, List<String> avoid, Waiter waiter) {
+        Use use = new Use(nextAskId.getAndIncrement(), group, rank, deadlineNanos, avoid, waiter);
         uses.put(use.id, use);
         send(use);
         return use;
@@ -257,7 +259,7 @@
         peers.send(
                 grantor,
                 new PeerMessage.SlotAsk(
-                        use.group, use.id, use.rank, zone, now - use.sinceNanos, use.deadlineNanos - now));
+                        use.group, use.id, use.rank, zone, now - use.sinceNanos, use.deadlineNanos - now, use.avoid));
     }
 
     private void askPrivately(Use use) {
@@ -425,7 +427,8 @@
                 message.rank(),
                 message.zone(),
                 now - message.waitedNanos(),
-                now + message.leftNanos());
+                now + message.leftNanos(),
+                message.avoid());
         List<SlotEvent> events = host.grantor.ask(ask);
         boolean decided = events.stream().anyMatch(event -> event.ask().equals(ask));
         if (!decided) {
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotGrantor.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotGrantor.java
@@ -267,7 +267,7 @@
             if (ask == null) {
                 continue;
             }
-            EndpointSlots endpoint = endpoints.pick(ask.zone());
+            EndpointSlots endpoint = endpoints.pick(ask.zone(), ask.avoid());
             if (endpoint == null) {
                 return;
             }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotSource.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotSource.java
@@ -1,5 +1,6 @@
 package org.cowsliplatch.internal.limit;
 
+import java.util.List;
 import org.cowsliplatch.table.Rank;
 
 /** Gives out slots of endpoints to requests of this entry instance. */
@@ -34,7 +35,8 @@
      * @param group group of endpoints
      * @param rank urgency
      * @param deadlineNanos when the answer is due, on this entry instance's clock
+     * @param avoid ids of endpoints that failed this request before
      * @param waiter told of the result, possibly before this call returns
      */
-    Ticket acquire(GroupId group, Rank rank, long deadlineNanos, Waiter waiter);
+    Ticket acquire(GroupId group, Rank rank, long deadlineNanos, List<String> avoid, Waiter waiter);
 }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/peer/PeerCodec.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/peer/PeerCodec.java
@@ -32,7 +32,8 @@
                     .setRank(m.rank().ordinal())
                     .setZone(m.zone())
                     .setWaitedNanos(m.waitedNanos())
-                    .setLeftNanos(m.leftNanos()));
+                    .setLeftNanos(m.leftNanos())
+                    .addAllAvoid(m.avoid()));
         } else if (message instanceof PeerMessage.SlotQueued m) {
             frame.setSlotQueued(org.cowsliplatch.wire.SlotQueued.newBuilder().setAskId(m.askId()));
         } else if (message instanceof PeerMessage.SlotDeclined m) {
@@ -212,7 +213,8 @@
                 at(Rank.values(), ask.getRank()),
                 ask.getZone(),
                 ask.getWaitedNanos(),
-                ask.getLeftNanos());
+                ask.getLeftNanos(),
+                ask.getAvoidList());
     }
 
     private static org.cowsliplatch.wire.Holdings holdings(PeerMessage.Holdings message) {
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/peer/PeerMessage.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/peer/PeerMessage.java
@@ -37,8 +37,10 @@
      * @param zone availability zone of the sender
      * @param waitedNanos how long the request has waited
      * @param leftNanos how long from now its answer is of use
+     * @param avoid ids of endpoints that failed the request before
      */
-    record SlotAsk(GroupId group, long askId, Rank rank, String zone, long waitedNanos, long leftNanos)
+    record SlotAsk(
+            GroupId group, long askId, Rank rank, String zone, long waitedNanos, long leftNanos, List<String> avoid)
             implements PeerMessage {}
 
     /**
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Attempt.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Attempt.java
@@ -1,5 +1,6 @@
 package org.cowsliplatch.internal.proxy;
 
+import java.io.EOFException;
 import java.net.SocketTimeoutException;
 import java.nio.channels.ClosedChannelException;
 import java.util.concurrent.TimeUnit;
@@ -166,7 +167,7 @@
     }
 
     private static String describe(Throwable failure) {
-        if (failure instanceof ClosedChannelException) {
+        if (failure instanceof ClosedChannelException || failure instanceof EOFException) {
             return "the connection was closed";
         }
         String message = failure.getMessage();
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Exchange.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Exchange.java
@@ -54,6 +54,7 @@
     private volatile SlotSource.@Nullable Ticket ticket;
     private volatile @Nullable Attempt attempt;
     private volatile boolean callerGone;
+    private final List<String> failedEndpoints = new ArrayList<>();
     private int attempts;
     private boolean anyMayHaveRun;
 
@@ -144,21 +145,24 @@
         Span queue = context.tracing().child(span, "queue", SpanKind.INTERNAL);
         long since = context.ticker().nanos();
         GroupId group = new GroupId(pool.name(), region.get());
-        ticket = context.slots().acquire(group, route.rank(), deadlineNanos, new SlotSource.Waiter() {
-            @Override
-            public void granted(SlotSource.Lease lease) {
-                context.metrics().queueWait(route.rank(), (context.ticker().nanos() - since) / 1e9);
-                queue.setAttribute("cowsliplatch.endpoint", lease.endpoint().id());
-                queue.end();
-                send(lease);
-            }
-
-            @Override
-            public void refused(Refusal why) {
-                Tracing.fail(queue, why.text());
-                refuse(why);
-            }
-        });
+        ticket = context.slots()
+                .acquire(group, route.rank(), deadlineNanos, List.copyOf(failedEndpoints), new SlotSource.Waiter() {
+                    @Override
+                    public void granted(SlotSource.Lease lease) {
+                        context.metrics()
+                                .queueWait(route.rank(), (context.ticker().nanos() - since) / 1e9);
+                        queue.setAttribute(
+                                "cowsliplatch.endpoint", lease.endpoint().id());
+                        queue.end();
+                        send(lease);
+                    }
+
+                    @Override
+                    public void refused(Refusal why) {
+                        Tracing.fail(queue, why.text());
+                        refuse(why);
+                    }
+                });
     }
 
     private boolean isWithoutBody() {
@@ -388,6 +392,7 @@
         @Override
         public void onFailed(AttemptResult result, boolean answerBegun) {
             lease.release(result.kind().slotOutcome());
+            failedEndpoints.add(lease.endpoint().id());
             Tracing.fail(attemptSpan, result.detail());
             context.metrics().attempt(pool.name(), result.kind().name());
             anyMayHaveRun |= !result.kind().isProvenNotRun();
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/table/TableFollower.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/table/TableFollower.java
@@ -54,7 +54,10 @@
             return Round.REFUSED;
         } catch (TableException e) {
             failures++;
-            LOG.debugf("tables of the store could not be read: %s", e.getMessage());
+            LOG.logf(
+                    failures == 1 ? Logger.Level.WARN : Logger.Level.DEBUG,
+                    "tables of the store could not be read: %s",
+                    e.getMessage());
             return Round.STORE_AWAY;
         }
     }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/util/Json.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/util/Json.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.MapperFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.io.IOException;
@@ -14,6 +15,7 @@
             .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
             .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
             .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+            .disable(MapperFeature.AUTO_DETECT_IS_GETTERS)
             .build();
 
     private Json() {}
