--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotGrantor.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotGrantor.java
@@ -24,9 +24,18 @@
     /** Time that a slot stays occupied after its request was given up but may still run. */
     private static final long MAYBE_BUSY_NANOS = 1_000_000_000L;
     /** Share of the slots that may stand free for urgent requests while others wait. */
-    private static final double MOST_RESERVED = 0.05;
-    /** Largest part of a request's time that must be left when it gets a slot. */
-    private static final double MOST_NEEDED = 0.5;
+    private static final double MOST_RESERVED = 0.06;
+    /**
+     * Part of a request's time that must be left when it gets a slot.
+     *
+     * <p>A request that waited longer is refused while its caller still has time to go elsewhere, and one that gets
+     * a slot is almost never late.
+     */
+    private static final double NEEDED = 0.5;
+    /** Mean number of urgent requests below which no slot is kept free for them. */
+    private static final double LEAST_URGENT = 0.05;
+    /** Extra on a floor for the time in which a slot changes hands. */
+    private static final double FLOOR_MARGIN = 1.08;
 
     private record Key(String holder, long askId) {}
 
@@ -244,7 +253,7 @@
 
     /** Returns the time in ns that must be left for an answer to come in time. */
     private double neededNanos(Ask ask) {
-        return Math.min(serviceTime.upper(), ask.budgetNanos() * MOST_NEEDED);
+        return ask.budgetNanos() * NEEDED;
     }
 
     private void dropLate(Rank rank, long now, List<SlotEvent> events) {
@@ -295,13 +304,14 @@
     }
 
     private boolean isBelowFloor(Rank rank, long now) {
-        double floor = rank.floorShare() * endpoints.total();
+        double floor = rank.floorShare() * FLOOR_MARGIN * endpoints.total();
         return inFlight[rank.ordinal()] < Math.max(1, Math.ceil(floor)) && occupancy[rank.ordinal()].mean(now) < floor;
     }
 
-    /** Returns the slots that a rank must leave free for urgent asks to come. */
+    /** Returns the slots that a rank must leave free for urgent asks to come while less urgent ones flood. */
     private int reserve(Rank rank, long now) {
-        if (rank == Rank.URGENT || occupancy[0].mean(now) < 0.05) {
+        boolean flooded = queues.size() - queues.size(Rank.URGENT) > endpoints.total();
+        if (rank == Rank.URGENT || !flooded || occupancy[Rank.URGENT.ordinal()].mean(now) < LEAST_URGENT) {
             return 0;
         }
         return (int) (endpoints.total() * MOST_RESERVED);
