--- /dev/null
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/SlotBrokerTest.java
@@ -0,0 +1,249 @@
+package org.cowsliplatch.test;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.cowsliplatch.errors.TableException;
+import org.cowsliplatch.internal.limit.GroupId;
+import org.cowsliplatch.internal.limit.Refusal;
+import org.cowsliplatch.internal.limit.SlotBroker;
+import org.cowsliplatch.internal.limit.SlotOutcome;
+import org.cowsliplatch.internal.limit.SlotSource;
+import org.cowsliplatch.internal.member.Member;
+import org.cowsliplatch.internal.peer.PeerMessage;
+import org.cowsliplatch.internal.steer.EndpointDirectory;
+import org.cowsliplatch.internal.steer.SteeringView;
+import org.cowsliplatch.platform.Instance;
+import org.cowsliplatch.table.Rank;
+import org.cowsliplatch.table.TableVersion;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Twelve brokers over a fake message bus: grantors that die, pause, are doubted or replaced. */
+final class SlotBrokerTest {
+    private static final int ENTRIES = 12;
+    private static final int ENDPOINTS = 12;
+    private static final int SLOTS = 3;
+    private static final GroupId GROUP = new GroupId("cases", "svealand");
+
+    private record Sent(String from, String to, PeerMessage message) {}
+
+    private final ManualTicker ticker = new ManualTicker();
+    private final Map<String, SlotBroker> brokers = new HashMap<>();
+    private final Deque<Sent> bus = new ArrayDeque<>();
+    private final Set<String> dead = new HashSet<>();
+    private final Map<String, Integer> outstanding = new HashMap<>();
+    private final List<SlotSource.Lease> held = new ArrayList<>();
+    private final List<Refusal> refusals = new ArrayList<>();
+    private final List<String> names = new ArrayList<>();
+    private SteeringView view = SteeringView.empty();
+    private int mostOutstanding;
+
+    @BeforeEach
+    void start() throws TableException {
+        List<Instance> instances = new ArrayList<>();
+        for (int i = 0; i < ENDPOINTS; i++) {
+            instances.add(new Instance("case-lookup", "e" + i, "10.0.0." + i + ":80", "svealand", "a", false));
+        }
+        for (int i = 0; i < ENTRIES; i++) {
+            names.add("entry-" + i);
+        }
+        view = SteeringView.empty()
+                .with(new TableVersion(
+                        1,
+                        TestSystem.tables(
+                                "case-lookup,*,/cases,GET,lookup,yes,cases,5s\n",
+                                "cases,case-lookup,3,svealand=1,0s,1000\n")))
+                .with(new EndpointDirectory(instances))
+                .with(members(names));
+        for (String name : names) {
+            SplittableRandom random = new SplittableRandom(name.hashCode());
+            brokers.put(
+                    name,
+                    new SlotBroker(name, "a", ticker, random, (to, message) -> bus.add(new Sent(name, to, message))));
+        }
+        brokers.values().forEach(broker -> broker.view(view));
+        deliverAll();
+    }
+
+    private static List<Member> members(List<String> names) {
+        return names.stream()
+                .map(name -> new Member(name, "0", "svealand", "a", "", "", "", false, 1, "", "", List.of()))
+                .toList();
+    }
+
+    private void deliverAll() {
+        while (!bus.isEmpty()) {
+            Sent sent = bus.removeFirst();
+            SlotBroker receiver = brokers.get(sent.to());
+            if (receiver != null && !dead.contains(sent.to()) && !dead.contains(sent.from())) {
+                receiver.receive(sent.from(), sent.message());
+            }
+        }
+    }
+
+    private void acquire(String entry) {
+        broker(entry).acquire(GROUP, Rank.LOOKUP, ticker.nanos() + 5_000_000_000L, List.of(), new SlotSource.Waiter() {
+            @Override
+            public void granted(SlotSource.Lease lease) {
+                held.add(lease);
+                int now = outstanding.merge(lease.endpoint().id(), 1, Integer::sum);
+                mostOutstanding = Math.max(mostOutstanding, now);
+            }
+
+            @Override
+            public void refused(Refusal why) {
+                refusals.add(why);
+            }
+        });
+    }
+
+    private SlotBroker broker(String entry) {
+        SlotBroker broker = brokers.get(entry);
+        if (broker == null) {
+            throw new AssertionError("no broker " + entry);
+        }
+        return broker;
+    }
+
+    private void releaseAll() {
+        for (SlotSource.Lease lease : List.copyOf(held)) {
+            held.remove(lease);
+            outstanding.merge(lease.endpoint().id(), -1, Integer::sum);
+            lease.release(SlotOutcome.ANSWERED);
+        }
+    }
+
+    private void tickAll(long millis) {
+        ticker.advanceMs(millis);
+        for (String name : names) {
+            if (!dead.contains(name)) {
+                broker(name).tick();
+            }
+        }
+        deliverAll();
+    }
+
+    private String grantor() {
+        return broker(names.get(0)).grantorOf(GROUP).orElseThrow();
+    }
+
+    private void everyoneAsks(int times) {
+        for (int i = 0; i < times; i++) {
+            for (String name : names) {
+                if (!dead.contains(name)) {
+                    acquire(name);
+                }
+            }
+        }
+        deliverAll();
+    }
+
+    @Test
+    void twelveEntriesTogetherNeverOverloadAnEndpoint() {
+        for (int round = 0; round < 20; round++) {
+            everyoneAsks(6);
+            tickAll(5);
+            releaseAll();
+            deliverAll();
+        }
+
+        assertThat(mostOutstanding).isEqualTo(SLOTS);
+    }
+
+    @Test
+    void deadGrantorIsDoubtedSoonAndWorkGoesOn() {
+        dead.add(grantor());
+        everyoneAsks(1);
+        assertThat(held).isEmpty();
+
+        tickAll(30);
+
+        assertThat(held).hasSize(ENTRIES - 1);
+        assertThat(refusals).isEmpty();
+        assertThat(mostOutstanding).isEqualTo(1);
+    }
+
+    @Test
+    void boundHoldsWhileTheGrantorIsDoubted() {
+        everyoneAsks(6);
+        int granted = held.size();
+        assertThat(granted).isEqualTo(ENDPOINTS * SLOTS);
+        dead.add(grantor());
+        tickAll(30);
+        everyoneAsks(3);
+        tickAll(30);
+
+        assertThat(mostOutstanding).isAtMost(SLOTS + 1);
+        assertThat(held.size()).isGreaterThan(granted);
+    }
+
+    @Test
+    void newGrantorLearnsWhatIsOutstandingBeforeItGrants() {
+        everyoneAsks(6);
+        String old = grantor();
+        dead.add(old);
+        List<String> left = names.stream().filter(name -> !name.equals(old)).toList();
+        SteeringView smaller = view.with(members(left));
+        left.forEach(name -> broker(name).view(smaller));
+        deliverAll();
+        tickAll(5);
+        everyoneAsks(6);
+        tickAll(5);
+
+        assertWithMessage("grants of the dead grantor's own requests are not known to anyone")
+                .that(mostOutstanding)
+                .isAtMost(SLOTS + 1);
+        assertThat(broker(left.get(0)).grantorOf(GROUP)).isNotEqualTo(java.util.Optional.of(old));
+        releaseAll();
+        deliverAll();
+        tickAll(400);
+        assertThat(held).isNotEmpty();
+    }
+
+    @Test
+    void joiningEntryTakesADutyOverWithoutOverload() {
+        everyoneAsks(6);
+        for (int joined = ENTRIES; joined < ENTRIES + 8; joined++) {
+            String name = "entry-" + joined;
+            names.add(name);
+            SplittableRandom random = new SplittableRandom(joined);
+            brokers.put(
+                    name,
+                    new SlotBroker(name, "a", ticker, random, (to, message) -> bus.add(new Sent(name, to, message))));
+            SteeringView larger = view.with(members(names));
+            names.forEach(entry -> broker(entry).view(larger));
+            deliverAll();
+            everyoneAsks(1);
+            tickAll(5);
+            releaseAll();
+            deliverAll();
+        }
+
+        assertThat(mostOutstanding).isAtMost(SLOTS);
+        assertThat(refusals).isEmpty();
+    }
+
+    @Test
+    void lateAnswerOfADoubtedGrantorGivesTheSlotBack() {
+        String grantor = grantor();
+        String asker =
+                names.stream().filter(name -> !name.equals(grantor)).findFirst().orElseThrow();
+        acquire(asker);
+        ticker.advanceMs(30);
+        broker(asker).tick();
+        deliverAll();
+
+        assertThat(held).hasSize(1);
+        assertThat(broker(grantor).loads().get(0).load().outstanding()).isEqualTo(0);
+    }
+}
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotBroker.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotBroker.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -284,17 +285,34 @@
         return share;
     }
 
-    /** Gives the share the endpoints that belong to this entry instance alone, or all if none does. */
+    /** Gives the share its part of the endpoints; leaving ones are dealt out too, so that the parts stay apart. */
     private List<SlotEvent> updateShare(GroupId group, SlotGrantor share) {
-        List<Endpoint> all = endpoints(group);
-        Collection<String> candidates = candidates(group);
-        List<Endpoint> mine = new ArrayList<>();
-        for (Endpoint endpoint : all) {
-            if (Rendezvous.owner(endpoint.id(), candidates).equals(Optional.of(self))) {
-                mine.add(endpoint);
-            }
+        List<Endpoint> all = new ArrayList<>(endpoints(group));
+        all.sort(Comparator.comparing(Endpoint::id));
+        return share.endpoints(
+                partOf(all, candidates(group), self), view.endpoints().leaving());
+    }
+
+    /**
+     * Returns the endpoints that one of several holders may use on its own.
+     *
+     * <p>With at least as many endpoints as holders the parts do not overlap; otherwise each is one endpoint, and as
+     * few holders as possible share it.
+     */
+    static List<Endpoint> partOf(List<Endpoint> sorted, Collection<String> holders, String holder) {
+        List<String> names = holders.stream().sorted().toList();
+        int place = Math.max(0, names.indexOf(holder));
+        if (sorted.isEmpty()) {
+            return List.of();
+        }
+        if (sorted.size() < names.size()) {
+            return List.of(sorted.get(place % sorted.size()));
+        }
+        List<Endpoint> part = new ArrayList<>();
+        for (int i = place; i < sorted.size(); i += Math.max(1, names.size())) {
+            part.add(sorted.get(i));
         }
-        return share.endpoints(mine.isEmpty() ? all : mine, view.endpoints().leaving());
+        return part;
     }
 
     /** Gives a group to the grantor that the view names, and moves what waits there. */
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/member/Member.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/member/Member.java
@@ -40,9 +40,4 @@
     public String domain() {
         return name + "~" + incarnation;
     }
-
-    /** Returns whether this entry instance runs the keys of a domain. */
-    public boolean runsKeysOf(String domain) {
-        return domain.equals(domain()) || adoptedDomains.contains(domain);
-    }
 }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/KeyStep.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/KeyStep.java
@@ -151,13 +151,18 @@
     }
 
     private void forwardToOwner(String domain) {
+        Optional<Member> owner = Optional.empty();
         for (Member member : context.view().get().members()) {
-            if (member.runsKeysOf(domain)) {
-                forwardTo(Optional.of(member));
-                return;
+            if (member.adoptedDomains().contains(domain)) {
+                // A successor goes before the stopped owner, which may not be known to be gone yet.
+                owner = Optional.of(member);
+                break;
+            }
+            if (member.domain().equals(domain)) {
+                owner = Optional.of(member);
             }
         }
-        ownerGone();
+        forwardTo(owner);
     }
 
     private void ownerGone() {
