Keep links under their caps, ramp shifts, spill only into fresh headroom

Cause: requests to another region were neither counted nor bounded, and a shift was a jump.

Change: bytes between regions are charged as they move, against a static share and leased units of each link; plans of shifts are a pure function of accepted changes; a request without a slot at home spills once, into headroom reported within 2 s.

Found on the way: the bucket kept the burst of the static share when a lease came, which capped the use at 63 % (12 busy) and 5 % (one busy). Its size now follows the rate.

--- /dev/null
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/ShiftTest.java
@@ -0,0 +1,95 @@
+package org.cowsliplatch.test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.TreeMap;
+import org.cowsliplatch.errors.TableException;
+import org.cowsliplatch.internal.limit.GroupId;
+import org.cowsliplatch.internal.limit.GroupLoad;
+import org.cowsliplatch.internal.steer.Headroom;
+import org.cowsliplatch.internal.steer.Shift;
+import org.cowsliplatch.internal.steer.Shifts;
+import org.cowsliplatch.table.Pool;
+import org.cowsliplatch.table.Tables;
+import org.junit.jupiter.api.Test;
+
+/** Shifts between regions, and headroom of other regions. */
+final class ShiftTest {
+    private static final long RAMP_MS = 10_000;
+    private static final long START_MS = 1_000_000;
+
+    private static Pool pool(int svealand, int gotaland) {
+        TreeMap<String, Integer> weights = new TreeMap<>(Map.of("svealand", svealand, "gotaland", gotaland));
+        return new Pool("p", "s", 3, weights, Duration.ofMillis(RAMP_MS), 10);
+    }
+
+    @Test
+    void followsItsRampWithinTwoPercent() {
+        Shift shift = Shift.settled(pool(100, 0)).edited(pool(0, 100), START_MS);
+
+        for (int percent = 0; percent <= 100; percent += 10) {
+            double share = shift.share("gotaland", START_MS + RAMP_MS * percent / 100);
+            assertThat(share).isWithin(0.02).of(percent / 100.0);
+            assertThat(share + shift.share("svealand", START_MS + RAMP_MS * percent / 100))
+                    .isWithin(1e-9)
+                    .of(1);
+        }
+    }
+
+    @Test
+    void editMidwayGoesOnFromWhereTheShiftStands() {
+        Shift first = Shift.settled(pool(100, 0)).edited(pool(0, 100), START_MS);
+        Shift back = first.edited(pool(100, 0), START_MS + RAMP_MS / 2);
+
+        assertThat(back.share("gotaland", START_MS + RAMP_MS / 2))
+                .isWithin(0.02)
+                .of(0.5);
+        assertThat(back.share("gotaland", START_MS + RAMP_MS)).isWithin(0.02).of(0.25);
+        assertThat(back.share("gotaland", START_MS + 2 * RAMP_MS))
+                .isWithin(0.02)
+                .of(0);
+    }
+
+    @Test
+    void anyEntryThatReadsTheChangesFollowsTheSamePlan() throws TableException {
+        String route = "a,*,/a,GET,lookup,yes,p,2s\n";
+        Tables before = TestSystem.tables(route, "p,s,3,svealand=100,10s,10\n");
+        Tables after = TestSystem.tables(route, "p,s,3,svealand=50,10s,10\n");
+        Shifts early = Shifts.NONE.after(before, START_MS).after(after, START_MS + 500);
+        Shifts late = Shifts.NONE.after(before, START_MS).after(after, START_MS + 500);
+        Pool pool = after.pools().values().iterator().next();
+
+        assertThat(early.share(pool, "svealand", START_MS + 3_000))
+                .isEqualTo(late.share(pool, "svealand", START_MS + 3_000));
+    }
+
+    @Test
+    void allThatSeeOneFreeRegionTakeNoMoreThanHalfOfItTogether() {
+        GroupId group = new GroupId("p", "gotaland");
+        int entries = 12;
+        int taken = 0;
+        for (int i = 0; i < entries; i++) {
+            Headroom headroom = new Headroom(new ManualTicker());
+            headroom.report(group, new GroupLoad(36, 30, 6, 0), entries);
+            while (headroom.tryTake(group)) {
+                taken++;
+            }
+        }
+
+        assertThat(taken).isAtMost(15);
+        assertThat(taken).isAtLeast(12);
+    }
+
+    @Test
+    void oldHeadroomIsNotUsed() {
+        ManualTicker ticker = new ManualTicker();
+        Headroom headroom = new Headroom(ticker);
+        GroupId group = new GroupId("p", "gotaland");
+        headroom.report(group, new GroupLoad(36, 36, 0, 0), 2);
+        ticker.advanceMs(30_000);
+
+        assertThat(headroom.tryTake(group)).isFalse();
+    }
+}
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/RunningEntry.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/RunningEntry.java
@@ -23,6 +23,8 @@
 import org.cowsliplatch.internal.admin.AdminHandler;
 import org.cowsliplatch.internal.limit.RetryBudgets;
 import org.cowsliplatch.internal.limit.SlotBroker;
+import org.cowsliplatch.internal.link.LinkLeases;
+import org.cowsliplatch.internal.link.LinkPacer;
 import org.cowsliplatch.internal.member.Member;
 import org.cowsliplatch.internal.member.Membership;
 import org.cowsliplatch.internal.once.KeyDesk;
@@ -36,6 +38,7 @@
 import org.cowsliplatch.internal.proxy.CallerHandler;
 import org.cowsliplatch.internal.proxy.EntryContext;
 import org.cowsliplatch.internal.steer.EntryLookup;
+import org.cowsliplatch.internal.steer.Headroom;
 import org.cowsliplatch.internal.steer.InstanceFollower;
 import org.cowsliplatch.internal.steer.RegionChooser;
 import org.cowsliplatch.internal.steer.ViewKeeper;
@@ -88,6 +91,9 @@
     private final ViewKeeper views;
     private final Membership membership;
     private final SlotBroker broker;
+    private final Headroom headroom;
+    private final LinkLeases linkLeases;
+    private final LinkPacer linkPacer;
     private final KeyDesk keys;
     private final BackendClient client = new BackendClient();
     private final PeerTransport transport;
@@ -126,6 +132,14 @@
         this.instanceFollower =
                 new InstanceFollower(platform.instances(), settings.platform().entryService(), views, random.split());
         this.keys = keyDesk(budgeted(platform.tables(), "keys", KEY_WRITES_PER_SECOND));
+        this.headroom = new Headroom(ticker);
+        this.linkLeases = new LinkLeases(
+                settings,
+                budgeted(platform.tables(), "links", WRITES_PER_SECOND),
+                keys.domain(),
+                ticker,
+                random.split());
+        this.linkPacer = new LinkPacer(settings, ticker, linkLeases::units);
         EntryContext context = context();
         this.callerHandler = new CallerHandler(context);
         this.plannedStop = new PlannedStop(settings.limits(), ticker, keys, transport, membership, callerHandler);
@@ -167,6 +181,7 @@
         repeat(timers, this::heartbeat, () -> HEARTBEAT_MS);
         repeat(timers, keys::sweep, () -> KEY_SWEEP_MS);
         repeat(blocking, this::pollTables, tableFollower::nextDelayMs);
+        repeat(blocking, () -> linkLeases.step(linkPacer), linkLeases::nextDelayMs);
         repeat(blocking, instanceFollower::poll, instanceFollower::nextDelayMs);
         LOG.infof(
                 "entry instance %s listens for callers on %s, peers on %s, operators on %s",
@@ -213,7 +228,10 @@
                 new RetryBudgets(),
                 keys,
                 client,
-                new EntryLookup(settings.limits().lookupTtl()),
+                new EntryLookup(settings.limits().lookupTtl(), InstantSource.system()),
+                headroom,
+                linkPacer,
+                timers,
                 metrics,
                 tracing,
                 blocking,
@@ -274,10 +292,10 @@
                 keys.adoptedDomains());
     }
 
-    private void onTables(TableVersion version) {
+    private void onTables(TableVersion version, long acceptedAtMs) {
         LOG.infof("table version %d is in force", version.number());
         metrics.tableVersion(version.number());
-        views.tables(version);
+        views.tables(version, acceptedAtMs);
         views.members(membership.peers(), self());
         transport.heartbeat(broker.loads());
     }
@@ -316,6 +334,8 @@
 
     @Override
     public boolean alive(String from, List<PeerMessage.GroupReport> loads) {
+        int entries = views.current().members().size();
+        loads.forEach(report -> headroom.report(report.group(), report.load(), entries));
         return membership.alive(from);
     }
 
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/Refusal.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/Refusal.java
@@ -8,6 +8,8 @@
     QUEUE_FULL("too many requests of this pool wait already"),
     /** The answer would come after the deadline. */
     TOO_LATE("no slot would come free in time"),
+    /** The link to the region that has endpoints has no room. */
+    LINK_FULL("the link to the region that could serve it is full"),
     /** The caller went away. */
     CANCELLED("the caller cancelled the request");
 
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/AnswerSink.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/AnswerSink.java
@@ -19,17 +19,28 @@
 
     private final Response response;
     private final boolean keeps;
+    private final @Nullable Pace pace;
     private final ByteArrayOutputStream kept = new ByteArrayOutputStream();
     private boolean overflow;
     private volatile boolean callerGone;
 
-    AnswerSink(Response response, boolean keeps) {
+    AnswerSink(Response response, boolean keeps, @Nullable Pace pace) {
         this.response = response;
         this.keeps = keeps;
+        this.pace = pace;
     }
 
     @Override
     public void write(boolean last, @Nullable ByteBuffer buffer, Callback callback) {
+        if (pace == null || buffer == null || !buffer.hasRemaining()) {
+            writeNow(last, buffer, callback);
+            return;
+        }
+        // The backend server's next chunk is read only after this one was written, so a wait here slows it down.
+        pace.charge(buffer.remaining(), () -> writeNow(last, buffer, callback));
+    }
+
+    private void writeNow(boolean last, @Nullable ByteBuffer buffer, Callback callback) {
         if (keeps && buffer != null) {
             keep(buffer);
         }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Attempt.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Attempt.java
@@ -50,9 +50,9 @@
     }
 
     /** Sends the request; the listener is told of the end exactly once. */
-    void send(Request newRequest, RequestBody body, @Nullable String contentType, long timeoutMs) {
+    void send(Request newRequest, RequestBody body, @Nullable String contentType, @Nullable Pace pace, long timeoutMs) {
         request = newRequest;
-        Request.Content content = body.content(contentType);
+        Request.Content content = body.content(contentType, pace);
         if (content != null) {
             newRequest.body(content);
         }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/EntryContext.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/EntryContext.java
@@ -2,11 +2,14 @@
 
 import java.time.Duration;
 import java.util.concurrent.Executor;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.Supplier;
 import org.cowsliplatch.internal.limit.RetryBudgets;
 import org.cowsliplatch.internal.limit.SlotSource;
+import org.cowsliplatch.internal.link.LinkPacer;
 import org.cowsliplatch.internal.once.KeyDesk;
 import org.cowsliplatch.internal.steer.EntryLookup;
+import org.cowsliplatch.internal.steer.Headroom;
 import org.cowsliplatch.internal.steer.RegionChooser;
 import org.cowsliplatch.internal.steer.SteeringView;
 import org.cowsliplatch.internal.telemetry.Metrics;
@@ -25,6 +28,9 @@
  * @param keys idempotency keys
  * @param client connections to backend servers and peers
  * @param lookup look-up answers
+ * @param headroom free slots of other regions
+ * @param links pacing of traffic between regions
+ * @param timers threads for delays
  * @param metrics metrics
  * @param tracing traces
  * @param blocking threads for work that waits for the platform
@@ -41,6 +47,9 @@
         KeyDesk keys,
         BackendClient client,
         EntryLookup lookup,
+        Headroom headroom,
+        LinkPacer links,
+        ScheduledExecutorService timers,
         Metrics metrics,
         Tracing tracing,
         Executor blocking,
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Exchange.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Exchange.java
@@ -13,6 +13,7 @@
 import org.cowsliplatch.internal.limit.RetryBudget;
 import org.cowsliplatch.internal.limit.SlotOutcome;
 import org.cowsliplatch.internal.limit.SlotSource;
+import org.cowsliplatch.internal.link.LinkId;
 import org.cowsliplatch.internal.once.Recorded;
 import org.cowsliplatch.internal.telemetry.Tracing;
 import org.cowsliplatch.table.Pool;
@@ -57,6 +58,7 @@
     private final List<String> failedEndpoints = new ArrayList<>();
     private int attempts;
     private boolean anyMayHaveRun;
+    private boolean spilled;
 
     Exchange(EntryContext context, Route route, Pool pool, Request request, Response response, Callback callback) {
         this.context = context;
@@ -140,11 +142,17 @@
                 context.regions().choose(pool, context.view().get().endpoints());
         if (region.isEmpty()) {
             refuse(Refusal.NO_ENDPOINT);
-            return;
+        } else if (isLinkFull(region.get())) {
+            refuse(Refusal.LINK_FULL);
+        } else {
+            acquireIn(region.get());
         }
+    }
+
+    private void acquireIn(String region) {
         Span queue = context.tracing().child(span, "queue", SpanKind.INTERNAL);
         long since = context.ticker().nanos();
-        GroupId group = new GroupId(pool.name(), region.get());
+        GroupId group = new GroupId(pool.name(), region);
         ticket = context.slots()
                 .acquire(group, route.rank(), deadlineNanos, List.copyOf(failedEndpoints), new SlotSource.Waiter() {
                     @Override
@@ -160,11 +168,49 @@
                     @Override
                     public void refused(Refusal why) {
                         Tracing.fail(queue, why.text());
-                        refuse(why);
+                        if (!spill(region, why)) {
+                            refuse(why);
+                        }
                     }
                 });
     }
 
+    /** Goes on in another region where one has headroom known to be fresh, once; returns whether it does. */
+    private boolean spill(String full, Refusal why) {
+        if (spilled || why == Refusal.CANCELLED || leftMs() <= 0) {
+            return false;
+        }
+        spilled = true;
+        List<String> others = context.view().get().endpoints().regions(pool.service()).stream()
+                .filter(region -> !region.equals(full) && pool.share(region) > 0 && !isLinkFull(region))
+                .toList();
+        Optional<String> other = context.headroom().takeAny(pool.name(), others);
+        other.ifPresent(this::acquireIn);
+        return other.isPresent();
+    }
+
+    private boolean isLinkFull(String region) {
+        Pace to = paceTo(region);
+        Pace from = paceFrom(region);
+        if (to == null || from == null) {
+            return false;
+        }
+        return !context.links().mayBegin(to.link()) || !context.links().mayBegin(from.link());
+    }
+
+    private @Nullable Pace paceTo(String region) {
+        return pace(context.regions().home(), region);
+    }
+
+    private @Nullable Pace paceFrom(String region) {
+        return pace(region, context.regions().home());
+    }
+
+    /** Returns the pace of a way between regions, or null within one. */
+    private @Nullable Pace pace(String from, String to) {
+        return from.equals(to) ? null : new Pace(context.links(), new LinkId(from, to), context.timers());
+    }
+
     private boolean isWithoutBody() {
         boolean chunked = request.getHeaders().contains(HttpHeader.TRANSFER_ENCODING);
         boolean http2 = request.getConnectionMetaData().getHttpVersion().getVersion() >= 20;
@@ -229,7 +275,12 @@
         Attempt next =
                 new Attempt(context.client(), lease.endpoint().address(), new AttemptListener(lease, attemptSpan));
         attempt = next;
-        next.send(out, body, request.getHeaders().get(HttpHeader.CONTENT_TYPE), attemptMs);
+        next.send(
+                out,
+                body,
+                request.getHeaders().get(HttpHeader.CONTENT_TYPE),
+                paceTo(lease.endpoint().region()),
+                attemptMs);
     }
 
     /** Returns the request for the next hop. */
@@ -267,10 +318,10 @@
     }
 
     /** Returns the sink for the answer: the caller, and the record if the request has a key. */
-    AnswerSink openSink(int status, HttpFields headers) {
+    AnswerSink openSink(int status, HttpFields headers, @Nullable Pace pace) {
         response.setStatus(status);
         response.getHeaders().add(Headers.endToEnd(headers));
-        AnswerSink opened = new AnswerSink(response, keyStep.isRecording());
+        AnswerSink opened = new AnswerSink(response, keyStep.isRecording(), pace);
         sink = opened;
         return opened;
     }
@@ -376,7 +427,13 @@
         @Override
         public void onAnswer(org.eclipse.jetty.client.Response answer, Content.Source content, Callback copied) {
             status = answer.getStatus();
-            Content.copy(content, openSink(status, answer.getHeaders()), copied);
+            Content.copy(
+                    content,
+                    openSink(
+                            status,
+                            answer.getHeaders(),
+                            paceFrom(lease.endpoint().region())),
+                    copied);
         }
 
         @Override
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Forward.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Forward.java
@@ -35,7 +35,7 @@
         Request request = exchange.outgoing(address, true, span, left)
                 .headers(fields -> fields.put(Headers.FORWARDED_BY, context.self()));
         String type = exchange.headers().get(HttpHeader.CONTENT_TYPE);
-        new Attempt(context.client(), address, this).send(request, exchange.body(), type, left);
+        new Attempt(context.client(), address, this).send(request, exchange.body(), type, null, left);
     }
 
     @Override
@@ -46,7 +46,7 @@
     @Override
     public void onAnswer(Response answer, Content.Source content, Callback copied) {
         status = answer.getStatus();
-        Content.copy(content, exchange.openSink(status, answer.getHeaders()), copied);
+        Content.copy(content, exchange.openSink(status, answer.getHeaders(), null), copied);
     }
 
     @Override
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/RequestBody.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/RequestBody.java
@@ -11,8 +11,13 @@
     /** Returns whether the body can be sent (again). */
     boolean isSendable();
 
-    /** Returns the content for one attempt, or null if there is none. */
-    Request.@Nullable Content content(@Nullable String type);
+    /**
+     * Returns the content for one attempt, or null if there is none.
+     *
+     * @param type media type, or null
+     * @param pace pace of the way to the backend server, or null in the home region
+     */
+    Request.@Nullable Content content(@Nullable String type, @Nullable Pace pace);
 
     /** A short body. */
     record Held(byte[] bytes) implements RequestBody {
@@ -22,7 +27,10 @@
         }
 
         @Override
-        public Request.@Nullable Content content(@Nullable String type) {
+        public Request.@Nullable Content content(@Nullable String type, @Nullable Pace pace) {
+            if (pace != null) {
+                pace.charge(bytes.length, () -> {});
+            }
             return bytes.length == 0 ? null : new BytesRequestContent(type == null ? "" : type, bytes);
         }
     }
@@ -42,8 +50,10 @@
         }
 
         @Override
-        public Request.Content content(@Nullable String type) {
-            return new ContentSourceRequestContent(new TakenOnRead(), type == null ? "" : type);
+        public Request.Content content(@Nullable String type, @Nullable Pace pace) {
+            Content.Source taken = new TakenOnRead();
+            Content.Source flow = pace == null ? taken : new PacedSource(taken, pace);
+            return new ContentSourceRequestContent(flow, type == null ? "" : type);
         }
 
         /** Notes the first read: from then on the body can't be sent again. */
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/steer/EntryLookup.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/steer/EntryLookup.java
@@ -1,6 +1,7 @@
 package org.cowsliplatch.internal.steer;
 
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -45,18 +46,22 @@
     }
 
     private final long ttlMs;
+    private final InstantSource wallClock;
 
     /**
      * Creates a look-up.
      *
      * @param ttl time for which answers may be used
+     * @param wallClock clock of the plans for shifts
      */
-    public EntryLookup(Duration ttl) {
+    public EntryLookup(Duration ttl, InstantSource wallClock) {
+        this.wallClock = wallClock;
         this.ttlMs = ttl.toMillis();
     }
 
     /** Returns the answer for a route: entry instances weighted by their region's share of the pool. */
     public Answer answer(Route route, Pool pool, SteeringView view) {
+        long nowMs = wallClock.millis();
         List<Member> usable = usable(view.members());
         Map<String, Integer> inRegion = new TreeMap<>();
         for (Member member : usable) {
@@ -64,7 +69,8 @@
         }
         List<Entry> entries = new ArrayList<>();
         for (Member member : usable) {
-            double share = pool.share(member.region()) / inRegion.getOrDefault(member.region(), 1);
+            double share =
+                    view.shifts().share(pool, member.region(), nowMs) / inRegion.getOrDefault(member.region(), 1);
             int weight = Math.max(LEAST_WEIGHT, (int) Math.round(share * WEIGHT_SCALE));
             entries.add(new Entry(
                     member.name(), member.callerAddress(), member.region(), member.zone(), weight, member.keyPrefix()));
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/steer/RegionChooser.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/steer/RegionChooser.java
@@ -23,6 +23,11 @@
         this.random = random;
     }
 
+    /** Returns the region of this entry instance. */
+    public String home() {
+        return home;
+    }
+
     /**
      * Returns the region to ask for a slot: the home region where it has endpoints, since look-up answers have
      * already steered the caller; otherwise another by its share. Empty if the pool has no endpoint at all.
--- /dev/null
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/steer/Shifts.java
@@ -0,0 +1,44 @@
+package org.cowsliplatch.internal.steer;
+
+import java.util.Collections;
+import java.util.Map;
+import java.util.TreeMap;
+import org.cowsliplatch.table.Pool;
+import org.cowsliplatch.table.Tables;
+
+/** The plans of all pools; immutable. */
+public final class Shifts {
+    /** No pools. */
+    public static final Shifts NONE = new Shifts(Map.of());
+
+    private final Map<String, Shift> byPool;
+
+    private Shifts(Map<String, Shift> byPool) {
+        this.byPool = Collections.unmodifiableMap(byPool);
+    }
+
+    /**
+     * Returns the plans after tables came into force.
+     *
+     * @param tables new tables
+     * @param acceptedAtMs wall-clock time of their acceptance, or 0 if it is not known: then nothing moves
+     */
+    public Shifts after(Tables tables, long acceptedAtMs) {
+        Map<String, Shift> plans = new TreeMap<>();
+        for (Pool pool : tables.pools().values()) {
+            Shift present = byPool.get(pool.name());
+            if (present == null || acceptedAtMs <= 0) {
+                plans.put(pool.name(), Shift.settled(pool));
+            } else {
+                plans.put(pool.name(), present.edited(pool, acceptedAtMs));
+            }
+        }
+        return new Shifts(plans);
+    }
+
+    /** Returns the share of a region at a moment, 0 to 1. */
+    public double share(Pool pool, String region, long nowMs) {
+        Shift plan = byPool.get(pool.name());
+        return plan == null ? pool.share(region) : plan.share(region, nowMs);
+    }
+}
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/steer/ViewKeeper.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/steer/ViewKeeper.java
@@ -27,9 +27,13 @@
         return current;
     }
 
-    /** Puts tables into force. */
-    public void tables(TableVersion version) {
-        replace(view -> view.with(version));
+    /**
+     * Puts tables into force.
+     *
+     * @param acceptedAtMs wall-clock time of their acceptance, or 0 if it is not known
+     */
+    public void tables(TableVersion version, long acceptedAtMs) {
+        replace(view -> view.with(version, acceptedAtMs));
     }
 
     /** Takes over a list of backend servers. */
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/table/TableFollower.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/table/TableFollower.java
@@ -85,9 +85,11 @@
     }
 
     private void catchUp(TableHead head) throws TableException {
+        if (head.version() - log.current().number() > MOST_CHANGES) {
+            log.adopt("the store", reader.snapshotUpTo(head.version()));
+        }
         long mine = log.current().number();
-        boolean fewBehind = mine > 0 && head.version() - mine <= MOST_CHANGES;
-        if (fewBehind) {
+        if (head.version() - mine <= MOST_CHANGES) {
             List<TableChange> changes = reader.changesAfter(mine, (int) (head.version() - mine));
             if (!changes.isEmpty() && log.append("the store", changes)) {
                 return;
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/table/TableLog.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/table/TableLog.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
-import java.util.function.Consumer;
 import org.cowsliplatch.errors.TableException;
 import org.cowsliplatch.errors.TableRegressionException;
 import org.cowsliplatch.table.TableChange;
@@ -27,10 +26,22 @@
         AHEAD
     }
 
+    /** Told of versions that come into force. */
+    @FunctionalInterface
+    public interface Listener {
+        /**
+         * A version came into force.
+         *
+         * @param version the version
+         * @param acceptedAtMs wall-clock time of its acceptance, or 0 if it is not known
+         */
+        void inForce(TableVersion version, long acceptedAtMs);
+    }
+
     private static final int CHANGES_KEPT = 512;
 
     private final Deque<TableChange> recent = new ArrayDeque<>();
-    private final Consumer<TableVersion> listener;
+    private final Listener listener;
     private volatile TableVersion current = TableVersion.NONE;
 
     /**
@@ -38,7 +49,7 @@
      *
      * @param listener told of each version that comes into force, in order
      */
-    public TableLog(Consumer<TableVersion> listener) {
+    public TableLog(Listener listener) {
         this.listener = listener;
     }
 
@@ -89,7 +100,7 @@
             if (change.version() != mine.number() + 1) {
                 return false;
             }
-            putInForce(new TableVersion(change.version(), change.applyTo(mine.tables())));
+            putInForce(new TableVersion(change.version(), change.applyTo(mine.tables())), change.acceptedAtMs());
             remember(change);
         }
         return true;
@@ -105,7 +116,7 @@
             return;
         }
         recent.clear();
-        putInForce(version);
+        putInForce(version, 0);
     }
 
     /** Returns the changes after a version that are still kept, oldest first; empty if any of them is not. */
@@ -120,9 +131,9 @@
         return complete ? changes : List.of();
     }
 
-    private void putInForce(TableVersion version) {
+    private void putInForce(TableVersion version, long acceptedAtMs) {
         current = version;
-        listener.accept(version);
+        listener.inForce(version, acceptedAtMs);
     }
 
     private void remember(TableChange change) {
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/util/TokenBucket.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/util/TokenBucket.java
@@ -5,7 +5,7 @@
     private static final double NANOS_PER_SECOND = 1e9;
 
     private final Ticker ticker;
-    private final double capacity;
+    private double capacity;
     private double perSecond;
     private double tokens;
     private long at;
@@ -47,10 +47,12 @@
         tokens = Math.min(capacity, tokens + amount);
     }
 
-    /** Changes the refill rate. */
-    public synchronized void rate(double newPerSecond) {
+    /** Changes the refill rate and the most tokens kept; tokens over that are lost. */
+    public synchronized void resize(double newPerSecond, double newCapacity) {
         refill();
         perSecond = newPerSecond;
+        capacity = newCapacity;
+        tokens = Math.min(capacity, tokens);
     }
 
     /** Returns the tokens there are now; negative after {@link #take}. */
