--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/entry/EntryInstance.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/entry/EntryInstance.java
@@ -51,6 +51,11 @@
         return running.tables().number();
     }
 
+    /** Returns the bytes of all frames sent to peers so far. */
+    public long peerBytesSent() {
+        return running.peerBytesSent();
+    }
+
     /** Begins a planned stop, which cuts no request; the result completes when all is closed. */
     public CompletableFuture<Void> drain() {
         running.drain();
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/RunningEntry.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/RunningEntry.java
@@ -66,6 +66,7 @@
 public final class RunningEntry implements AdminActions, PeerListener, AutoCloseable {
     private static final Logger LOG = Logger.getLogger(RunningEntry.class);
     private static final long SLOT_TICK_MS = 5;
+    private static final long IDLE_SLOT_TICK_MS = 25;
     private static final long HEARTBEAT_MS = 800;
     private static final long KEY_SWEEP_MS = 30_000;
     private static final long FORWARD_TIMEOUT_MS = 10_000;
@@ -177,7 +178,7 @@
         listeners.add(admin);
         adminAddress = admin.address();
         views.members(membership.peers(), self());
-        repeat(timers, broker::tick, () -> SLOT_TICK_MS);
+        repeat(timers, broker::tick, () -> broker.inUse() > 0 ? SLOT_TICK_MS : IDLE_SLOT_TICK_MS);
         repeat(timers, this::heartbeat, () -> HEARTBEAT_MS);
         repeat(timers, keys::sweep, () -> KEY_SWEEP_MS);
         repeat(blocking, this::pollTables, tableFollower::nextDelayMs);
@@ -228,7 +229,8 @@
                 new RetryBudgets(),
                 keys,
                 client,
-                new EntryLookup(settings.limits().lookupTtl(), InstantSource.system()),
+                new EntryLookup(settings.limits().lookupTtl(), InstantSource.system(), () -> ThreadLocalRandom.current()
+                        .nextDouble()),
                 headroom,
                 linkPacer,
                 timers,
@@ -469,6 +471,11 @@
         return tracing.ring().trace(traceId);
     }
 
+    /** Returns the bytes of all frames sent to peers so far. */
+    public long peerBytesSent() {
+        return transport.sentBytes();
+    }
+
     /** Returns the address for callers. */
     public InetSocketAddress callerAddress() {
         return callerAddress;
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/steer/EntryLookup.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/steer/EntryLookup.java
@@ -6,7 +6,9 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.PriorityQueue;
 import java.util.TreeMap;
+import java.util.function.DoubleSupplier;
 import org.cowsliplatch.internal.member.Member;
 import org.cowsliplatch.table.Pool;
 import org.cowsliplatch.table.Route;
@@ -18,6 +20,9 @@
 
     private static final int WEIGHT_SCALE = 1_000;
 
+    /** Most entry instances in an answer; with more, each answer is a sample by weight. */
+    static final int MOST_ENTRIES = 16;
+
     /**
      * One entry instance in an answer.
      *
@@ -47,14 +52,17 @@
 
     private final long ttlMs;
     private final InstantSource wallClock;
+    private final DoubleSupplier random;
 
     /**
      * Creates a look-up.
      *
      * @param ttl time for which answers may be used
      * @param wallClock clock of the plans for shifts
+     * @param random uniform numbers from 0 to 1, safe for use by several threads
      */
-    public EntryLookup(Duration ttl, InstantSource wallClock) {
+    public EntryLookup(Duration ttl, InstantSource wallClock, DoubleSupplier random) {
+        this.random = random;
         this.wallClock = wallClock;
         this.ttlMs = ttl.toMillis();
     }
@@ -75,8 +83,35 @@
             entries.add(new Entry(
                     member.name(), member.callerAddress(), member.region(), member.zone(), weight, member.keyPrefix()));
         }
-        entries.sort(Comparator.comparingInt((Entry entry) -> -entry.weight()).thenComparing(Entry::name));
-        return new Answer(route.name(), view.tables().number(), ttlMs, entries);
+        List<Entry> chosen = sample(entries);
+        chosen.sort(Comparator.comparingInt((Entry entry) -> -entry.weight()).thenComparing(Entry::name));
+        return new Answer(route.name(), view.tables().number(), ttlMs, chosen);
+    }
+
+    /** Returns all entries if they are few, or a random sample in which each stands in proportion to its weight. */
+    private List<Entry> sample(List<Entry> entries) {
+        if (entries.size() <= MOST_ENTRIES) {
+            return entries;
+        }
+        // The smallest of exponential times with the weights as rates are such a sample.
+        record Timed(Entry entry, double time) {}
+        PriorityQueue<Timed> latestFirst = new PriorityQueue<>(Comparator.comparingDouble(timed -> -timed.time()));
+        for (Entry entry : entries) {
+            double time = -Math.log(1 - random.getAsDouble()) / entry.weight();
+            latestFirst.add(new Timed(entry, time));
+            if (latestFirst.size() > MOST_ENTRIES) {
+                latestFirst.poll();
+            }
+        }
+        List<Entry> sample = new ArrayList<>();
+        latestFirst.forEach(timed -> sample.add(new Entry(
+                timed.entry().name(),
+                timed.entry().address(),
+                timed.entry().region(),
+                timed.entry().zone(),
+                1,
+                timed.entry().keyPrefix())));
+        return sample;
     }
 
     /** Returns the members that have tables and are not leaving, or all of them if there is none. */
