--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/RunningEntry.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/RunningEntry.java
@@ -19,6 +19,7 @@
 import java.util.function.LongSupplier;
 import org.cowsliplatch.errors.EntryStartException;
 import org.cowsliplatch.errors.TableException;
+import org.cowsliplatch.errors.TablesUnavailableException;
 import org.cowsliplatch.internal.admin.AdminActions;
 import org.cowsliplatch.internal.admin.AdminHandler;
 import org.cowsliplatch.internal.limit.RetryBudgets;
@@ -370,12 +371,29 @@
 
     @Override
     public TableChange apply(TableEdit edit) throws TableException {
+        refuseIfPeerIsAhead();
         restoreStoreIfBehind();
         TableChange change = editor.apply(edit);
         log.append("an operator", List.of(change));
         return change;
     }
 
+    /**
+     * Refuses an edit while a peer has a newer version: the store may have been restored to an older state, and the
+     * edit would take the number of a version that is in force there.
+     */
+    private void refuseIfPeerIsAhead() throws TableException {
+        long mine = log.current().number();
+        for (Member peer : membership.peers()) {
+            if (peer.tableVersion() > mine) {
+                throw new TablesUnavailableException(
+                        "version " + peer.tableVersion() + " is in force on " + peer.name() + " and " + mine
+                                + " here; apply again in a moment",
+                        null);
+            }
+        }
+    }
+
     /** Puts accepted versions back into a store that was restored to an older state, before it takes a new one. */
     private void restoreStoreIfBehind() throws TableException {
         TableHead head = reader.head();
