Let entry instances find each other through one seed

Cause: three entry instances run as processes of their own, two of them with the first as their seed, did not learn of each other: each of the two held itself the grantor of the same slots. Ruled out: the instance list, which was read but had no entry instances in it.

Change: a description carries the peer addresses that are known, and each connects to those of its peers.

--- a/org.cowsliplatch.benchmarks/src/main/java/org/cowsliplatch/benchmarks/CapacityReport.java
+++ b/org.cowsliplatch.benchmarks/src/main/java/org/cowsliplatch/benchmarks/CapacityReport.java
@@ -286,6 +286,7 @@
                     1,
                     "0".repeat(64),
                     "entry-svealand-1~0123456789abcdef~1f~AbCdEfGhIjKl",
+                    List.of(),
                     List.of()));
         }
         return members;
--- a/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/ClusterTest.java
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/ClusterTest.java
@@ -68,6 +68,22 @@
         Await.until("the late one has the version", () -> late.tableVersion() == 2);
     }
 
+    @Test
+    void entriesThatShareOneSeedFindEachOther() throws Exception {
+        List<EntryInstance> others = new ArrayList<>();
+        for (int i = 1; i <= 3; i++) {
+            others.add(system.entryWithSeed("seeded-" + i, entries.get(0)));
+        }
+
+        for (EntryInstance other : others) {
+            Await.until("all are named", () -> {
+                String body = TestSystem.send(system.request(other, "GET", "/v1/entries?route=booking"))
+                        .getContentAsString();
+                return body.contains("seeded-1") && body.contains("seeded-2") && body.contains("seeded-3");
+            });
+        }
+    }
+
     @Test
     void deadEntryIsNamedNoLonger() {
         entries.get(0).close();
--- a/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/SlotBrokerTest.java
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/SlotBrokerTest.java
@@ -79,7 +79,7 @@
 
     private static List<Member> members(List<String> names) {
         return names.stream()
-                .map(name -> new Member(name, "0", "svealand", "a", "", "", "", false, 1, "", "", List.of()))
+                .map(name -> new Member(name, "0", "svealand", "a", "", "", "", false, 1, "", "", List.of(), List.of()))
                 .toList();
     }
 
--- a/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/TestSystem.java
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/TestSystem.java
@@ -97,6 +97,15 @@
     public EntryInstance entry(String name) throws EntryStartException {
         List<InetSocketAddress> seeds =
                 entries.stream().map(EntryInstance::peerAddress).toList();
+        return start(name, seeds);
+    }
+
+    /** Starts an entry instance that knows one other. */
+    public EntryInstance entryWithSeed(String name, EntryInstance seed) throws EntryStartException {
+        return start(name, List.of(seed.peerAddress()));
+    }
+
+    private EntryInstance start(String name, List<InetSocketAddress> seeds) throws EntryStartException {
         EntryInstance entry = EntryInstance.start(settings(name, seeds), platform.services());
         entries.add(entry);
         return entry;
--- a/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/Member.java
+++ b/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/Member.java
@@ -39,6 +39,8 @@
     keyPrefix_ = "";
     adoptedDomains_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
+    knownPeers_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -469,6 +471,43 @@
     return adoptedDomains_.getByteString(index);
   }
 
+  public static final int KNOWN_PEERS_FIELD_NUMBER = 13;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList knownPeers_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <code>repeated string known_peers = 13;</code>
+   * @return A list containing the knownPeers.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getKnownPeersList() {
+    return knownPeers_;
+  }
+  /**
+   * <code>repeated string known_peers = 13;</code>
+   * @return The count of knownPeers.
+   */
+  public int getKnownPeersCount() {
+    return knownPeers_.size();
+  }
+  /**
+   * <code>repeated string known_peers = 13;</code>
+   * @param index The index of the element to return.
+   * @return The knownPeers at the given index.
+   */
+  public java.lang.String getKnownPeers(int index) {
+    return knownPeers_.get(index);
+  }
+  /**
+   * <code>repeated string known_peers = 13;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the knownPeers at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getKnownPeersBytes(int index) {
+    return knownPeers_.getByteString(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -519,6 +558,9 @@
     for (int i = 0; i < adoptedDomains_.size(); i++) {
       com.google.protobuf.GeneratedMessage.writeString(output, 12, adoptedDomains_.getRaw(i));
     }
+    for (int i = 0; i < knownPeers_.size(); i++) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 13, knownPeers_.getRaw(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -566,6 +608,14 @@
       size += dataSize;
       size += 1 * getAdoptedDomainsList().size();
     }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < knownPeers_.size(); i++) {
+        dataSize += computeStringSizeNoTag(knownPeers_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getKnownPeersList().size();
+    }
     return size;
   }
   @java.lang.Override
@@ -614,6 +664,8 @@
         .equals(other.getKeyPrefix())) return false;
     if (!getAdoptedDomainsList()
         .equals(other.getAdoptedDomainsList())) return false;
+    if (!getKnownPeersList()
+        .equals(other.getKnownPeersList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -653,6 +705,10 @@
       hash = (37 * hash) + ADOPTED_DOMAINS_FIELD_NUMBER;
       hash = (53 * hash) + getAdoptedDomainsList().hashCode();
     }
+    if (getKnownPeersCount() > 0) {
+      hash = (37 * hash) + KNOWN_PEERS_FIELD_NUMBER;
+      hash = (53 * hash) + getKnownPeersList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -797,6 +853,8 @@
       keyPrefix_ = "";
       adoptedDomains_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
+      knownPeers_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
       return this;
     }
 
@@ -867,6 +925,10 @@
         adoptedDomains_.makeImmutable();
         result.adoptedDomains_ = adoptedDomains_;
       }
+      if (((from_bitField0_ & 0x00001000) != 0)) {
+        knownPeers_.makeImmutable();
+        result.knownPeers_ = knownPeers_;
+      }
     }
 
     @java.lang.Override
@@ -942,6 +1004,16 @@
         }
         onChanged();
       }
+      if (!other.knownPeers_.isEmpty()) {
+        if (knownPeers_.isEmpty()) {
+          knownPeers_ = other.knownPeers_;
+          bitField0_ |= 0x00001000;
+        } else {
+          ensureKnownPeersIsMutable();
+          knownPeers_.addAll(other.knownPeers_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1026,6 +1098,11 @@
               adoptedDomains_.add(input.readStringRequireUtf8());
               break;
             } // case 98
+            case 106: {
+              ensureKnownPeersIsMutable();
+              knownPeers_.add(input.readStringRequireUtf8());
+              break;
+            } // case 106
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1866,6 +1943,117 @@
       return this;
     }
 
+    private com.google.protobuf.LazyStringArrayList knownPeers_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureKnownPeersIsMutable() {
+      if (!knownPeers_.isModifiable()) {
+        knownPeers_ = new com.google.protobuf.LazyStringArrayList(knownPeers_);
+      }
+      bitField0_ |= 0x00001000;
+    }
+    /**
+     * <code>repeated string known_peers = 13;</code>
+     * @return A list containing the knownPeers.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getKnownPeersList() {
+      knownPeers_.makeImmutable();
+      return knownPeers_;
+    }
+    /**
+     * <code>repeated string known_peers = 13;</code>
+     * @return The count of knownPeers.
+     */
+    public int getKnownPeersCount() {
+      return knownPeers_.size();
+    }
+    /**
+     * <code>repeated string known_peers = 13;</code>
+     * @param index The index of the element to return.
+     * @return The knownPeers at the given index.
+     */
+    public java.lang.String getKnownPeers(int index) {
+      return knownPeers_.get(index);
+    }
+    /**
+     * <code>repeated string known_peers = 13;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the knownPeers at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getKnownPeersBytes(int index) {
+      return knownPeers_.getByteString(index);
+    }
+    /**
+     * <code>repeated string known_peers = 13;</code>
+     * @param index The index to set the value at.
+     * @param value The knownPeers to set.
+     * @return This builder for chaining.
+     */
+    public Builder setKnownPeers(
+        int index, java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      ensureKnownPeersIsMutable();
+      knownPeers_.set(index, value);
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated string known_peers = 13;</code>
+     * @param value The knownPeers to add.
+     * @return This builder for chaining.
+     */
+    public Builder addKnownPeers(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      ensureKnownPeersIsMutable();
+      knownPeers_.add(value);
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated string known_peers = 13;</code>
+     * @param values The knownPeers to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllKnownPeers(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureKnownPeersIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, knownPeers_);
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated string known_peers = 13;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearKnownPeers() {
+      knownPeers_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00001000);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated string known_peers = 13;</code>
+     * @param value The bytes of the knownPeers to add.
+     * @return This builder for chaining.
+     */
+    public Builder addKnownPeersBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      ensureKnownPeersIsMutable();
+      knownPeers_.add(value);
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cowsliplatch.peer.Member)
   }
 
--- a/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/MemberOrBuilder.java
+++ b/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/MemberOrBuilder.java
@@ -154,4 +154,29 @@
    */
   com.google.protobuf.ByteString
       getAdoptedDomainsBytes(int index);
+
+  /**
+   * <code>repeated string known_peers = 13;</code>
+   * @return A list containing the knownPeers.
+   */
+  java.util.List<java.lang.String>
+      getKnownPeersList();
+  /**
+   * <code>repeated string known_peers = 13;</code>
+   * @return The count of knownPeers.
+   */
+  int getKnownPeersCount();
+  /**
+   * <code>repeated string known_peers = 13;</code>
+   * @param index The index of the element to return.
+   * @return The knownPeers at the given index.
+   */
+  java.lang.String getKnownPeers(int index);
+  /**
+   * <code>repeated string known_peers = 13;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the knownPeers at the given index.
+   */
+  com.google.protobuf.ByteString
+      getKnownPeersBytes(int index);
 }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/RunningEntry.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/RunningEntry.java
@@ -292,7 +292,8 @@
                 version.number(),
                 version.number() == 0 ? "" : version.digest(),
                 keys.own().issuer().prefix(),
-                keys.adoptedDomains());
+                keys.adoptedDomains(),
+                membership.peers().stream().map(Member::peerAddress).toList());
     }
 
     private void onTables(TableVersion version, long acceptedAtMs) {
@@ -313,7 +314,10 @@
         membership.expire();
         Set<String> addresses = new HashSet<>(instanceFollower.peerAddresses());
         settings.seeds().forEach(seed -> addresses.add(Addresses.text(seed)));
-        membership.peers().forEach(peer -> addresses.add(peer.peerAddress()));
+        for (Member peer : membership.peers()) {
+            addresses.add(peer.peerAddress());
+            addresses.addAll(peer.knownPeers());
+        }
         addresses.remove(Addresses.text(peerAddress));
         transport.retain(addresses);
         transport.connect(addresses);
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/member/Member.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/member/Member.java
@@ -17,6 +17,7 @@
  * @param tableDigest digest of those tables
  * @param keyPrefix prefix for idempotency keys that it owns
  * @param adoptedDomains domains of stopped entry instances whose keys it took over
+ * @param knownPeers peer addresses of the entry instances that it heard of lately, so that all find each other
  */
 public record Member(
         String name,
@@ -30,10 +31,12 @@
         long tableVersion,
         String tableDigest,
         String keyPrefix,
-        List<String> adoptedDomains) {
-    /** Copies the domains. */
+        List<String> adoptedDomains,
+        List<String> knownPeers) {
+    /** Copies the lists. */
     public Member {
         adoptedDomains = List.copyOf(adoptedDomains);
+        knownPeers = List.copyOf(knownPeers);
     }
 
     /** Returns name and incarnation together. */
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/peer/PeerCodec.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/peer/PeerCodec.java
@@ -156,6 +156,7 @@
                 .setTableDigest(member.tableDigest())
                 .setKeyPrefix(member.keyPrefix())
                 .addAllAdoptedDomains(member.adoptedDomains())
+                .addAllKnownPeers(member.knownPeers())
                 .build();
     }
 
@@ -173,7 +174,8 @@
                 member.getTableVersion(),
                 member.getTableDigest(),
                 member.getKeyPrefix(),
-                member.getAdoptedDomainsList());
+                member.getAdoptedDomainsList(),
+                member.getKnownPeersList());
     }
 
     /** Returns the loads in a heartbeat. */
