--- a/org.cowsliplatch.standin/src/main/java/org/cowsliplatch/standin/BackendServer.java
+++ b/org.cowsliplatch.standin/src/main/java/org/cowsliplatch/standin/BackendServer.java
@@ -60,6 +60,7 @@
     private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(1);
     private final AtomicInteger running = new AtomicInteger();
     private final AtomicInteger mostRunning = new AtomicInteger();
+    private final AtomicInteger refusals = new AtomicInteger();
     private final AtomicLong bodyBytes = new AtomicLong();
     private final Map<String, AtomicInteger> runsByKey = new ConcurrentHashMap<>();
     private final List<HttpFields> seenHeaders = new CopyOnWriteArrayList<>();
@@ -131,6 +132,11 @@
         return mostRunning.get();
     }
 
+    /** Returns how many requests it refused without running them. */
+    public int refusals() {
+        return refusals.get();
+    }
+
     /** Returns the bytes of all request bodies that it read to their end. */
     public long bodyBytes() {
         return bodyBytes.get();
@@ -189,6 +195,7 @@
         }
 
         private void refuse(Manner now, Response response, Callback callback) {
+            refusals.incrementAndGet();
             response.setStatus(HttpStatus.SERVICE_UNAVAILABLE_503);
             response.getHeaders().put(Headers.NOT_RUN, "yes");
             if (now == Manner.LEAVE) {
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/RunningEntry.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/RunningEntry.java
@@ -18,9 +18,6 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongSupplier;
 import org.cowsliplatch.errors.EntryStartException;
-import org.cowsliplatch.errors.TableException;
-import org.cowsliplatch.errors.TablesUnavailableException;
-import org.cowsliplatch.internal.admin.AdminActions;
 import org.cowsliplatch.internal.admin.AdminHandler;
 import org.cowsliplatch.internal.limit.RetryBudgets;
 import org.cowsliplatch.internal.limit.SlotBroker;
@@ -43,15 +40,12 @@
 import org.cowsliplatch.internal.steer.InstanceFollower;
 import org.cowsliplatch.internal.steer.RegionChooser;
 import org.cowsliplatch.internal.steer.ViewKeeper;
-import org.cowsliplatch.internal.table.TableEdit;
 import org.cowsliplatch.internal.table.TableEditor;
 import org.cowsliplatch.internal.table.TableFollower;
-import org.cowsliplatch.internal.table.TableHead;
 import org.cowsliplatch.internal.table.TableLog;
 import org.cowsliplatch.internal.table.TableReader;
 import org.cowsliplatch.internal.table.TableSync;
 import org.cowsliplatch.internal.telemetry.Metrics;
-import org.cowsliplatch.internal.telemetry.SpanRing;
 import org.cowsliplatch.internal.telemetry.Tracing;
 import org.cowsliplatch.internal.util.Addresses;
 import org.cowsliplatch.internal.util.Ticker;
@@ -59,18 +53,16 @@
 import org.cowsliplatch.platform.PlatformServices;
 import org.cowsliplatch.platform.TableService;
 import org.cowsliplatch.settings.Settings;
-import org.cowsliplatch.table.TableChange;
 import org.cowsliplatch.table.TableVersion;
 import org.jboss.logging.Logger;
 
 /** All parts of an entry instance, wired together and driven by its threads. */
-public final class RunningEntry implements AdminActions, PeerListener, AutoCloseable {
+public final class RunningEntry implements PeerListener, AutoCloseable {
     private static final Logger LOG = Logger.getLogger(RunningEntry.class);
     private static final long SLOT_TICK_MS = 5;
     private static final long IDLE_SLOT_TICK_MS = 25;
     private static final long HEARTBEAT_MS = 800;
     private static final long KEY_SWEEP_MS = 30_000;
-    private static final long FORWARD_TIMEOUT_MS = 10_000;
     private static final int SECRET_BYTES = 32;
     private static final int PLATFORM_THREADS = 4;
     private static final Duration READY_GRACE = Duration.ofSeconds(2);
@@ -175,7 +167,7 @@
                 settings.listen().admin(),
                 headerBytes,
                 settings.admin().keyStore(),
-                new AdminHandler(this, settings.admin().token()));
+                new AdminHandler(admin(), settings.admin().token()));
         listeners.add(admin);
         adminAddress = admin.address();
         views.members(membership.peers(), self());
@@ -238,8 +230,7 @@
                 metrics,
                 tracing,
                 blocking,
-                settings.limits().bodyBytes(),
-                Duration.ofMillis(FORWARD_TIMEOUT_MS));
+                settings.limits().bodyBytes());
     }
 
     private void gauges() {
@@ -257,6 +248,21 @@
                 "cowsliplatch_peer_sent_bytes", "Bytes of frames sent to peers since the start", transport::sentBytes);
     }
 
+    private EntryAdmin admin() {
+        return new EntryAdmin(
+                settings,
+                log,
+                reader,
+                editor,
+                membership,
+                broker,
+                keys,
+                callerHandler,
+                metrics,
+                tracing,
+                new EntryAdmin.Hooks(this::self, this::isReady, this::drain));
+    }
+
     /** Runs a task again and again, each time after a delay in ms; a failure is logged and does not end it. */
     private static void repeat(ScheduledExecutorService executor, Runnable task, LongSupplier delayMs) {
         executor.execute(new Runnable() {
@@ -326,7 +332,14 @@
         transport.retain(addresses);
         transport.connect(addresses);
         views.members(membership.peers(), self());
-        transport.heartbeat(broker.loads());
+        List<PeerMessage.GroupReport> loads = broker.loads();
+        noteLoads(loads);
+        transport.heartbeat(loads);
+    }
+
+    private void noteLoads(List<PeerMessage.GroupReport> loads) {
+        int entries = views.current().members().size();
+        loads.forEach(report -> headroom.report(report.group(), report.load(), entries));
     }
 
     @Override
@@ -345,8 +358,7 @@
 
     @Override
     public boolean alive(String from, List<PeerMessage.GroupReport> loads) {
-        int entries = views.current().members().size();
-        loads.forEach(report -> headroom.report(report.group(), report.load(), entries));
+        noteLoads(loads);
         return membership.alive(from);
     }
 
@@ -367,90 +379,12 @@
         }
     }
 
-    @Override
+    /** Returns the version in force. */
     public TableVersion tables() {
         return log.current();
     }
 
-    @Override
-    public List<String> regions() {
-        return List.copyOf(settings.regions().keySet());
-    }
-
-    @Override
-    public TableChange apply(TableEdit edit) throws TableException {
-        refuseIfPeerIsAhead();
-        restoreStoreIfBehind();
-        TableChange change = editor.apply(edit);
-        log.append("an operator", List.of(change));
-        return change;
-    }
-
-    /**
-     * Refuses an edit while a peer has a newer version: the store may have been restored to an older state, and the
-     * edit would take the number of a version that is in force there.
-     */
-    private void refuseIfPeerIsAhead() throws TableException {
-        long mine = log.current().number();
-        for (Member peer : membership.peers()) {
-            if (peer.tableVersion() > mine) {
-                throw new TablesUnavailableException(
-                        "version " + peer.tableVersion() + " is in force on " + peer.name() + " and " + mine
-                                + " here; apply again in a moment",
-                        null);
-            }
-        }
-    }
-
-    /** Puts accepted versions back into a store that was restored to an older state, before it takes a new one. */
-    private void restoreStoreIfBehind() throws TableException {
-        TableHead head = reader.head();
-        if (head.version() >= log.current().number()) {
-            return;
-        }
-        metrics.alarm("store-restored");
-        editor.restoreForward(log.changesAfter(head.version()));
-    }
-
-    @Override
-    public List<TableChange> history(long after, int limit) throws TableException {
-        return reader.changesAfter(after, limit);
-    }
-
-    @Override
-    public Status status() {
-        List<GroupStatus> groups = new ArrayList<>();
-        for (PeerMessage.GroupReport report : broker.loads()) {
-            groups.add(new GroupStatus(
-                    report.group().pool(),
-                    report.group().region(),
-                    report.load().slots(),
-                    report.load().free(),
-                    report.load().outstanding(),
-                    report.load().waiting()));
-        }
-        return new Status(
-                status(self()),
-                isReady(),
-                callerHandler.inFlight(),
-                broker.inUse(),
-                keys.size(),
-                groups,
-                membership.peers().stream().map(RunningEntry::status).toList());
-    }
-
-    private static InstanceStatus status(Member member) {
-        return new InstanceStatus(
-                member.name(),
-                member.region(),
-                member.zone(),
-                member.callerAddress(),
-                member.adminAddress(),
-                member.leaving(),
-                member.tableVersion());
-    }
-
-    @Override
+    /** Begins a planned stop. */
     public void drain() {
         if (leaving) {
             return;
@@ -477,7 +411,7 @@
         return stopped;
     }
 
-    @Override
+    /** Returns whether requests are served: tables are in force, none newer is known, no stop has begun. */
     public boolean isReady() {
         long mine = log.current().number();
         boolean newest = membership.peers().stream().allMatch(peer -> peer.tableVersion() <= mine);
@@ -487,16 +421,6 @@
         return mine > 0 && newest && settled && !leaving;
     }
 
-    @Override
-    public byte[] metrics() {
-        return metrics.text();
-    }
-
-    @Override
-    public List<SpanRing.SpanText> trace(String traceId) {
-        return tracing.ring().trace(traceId);
-    }
-
     /** Returns the bytes of all frames sent to peers so far. */
     public long peerBytesSent() {
         return transport.sentBytes();
--- /dev/null
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/Groups.java
@@ -0,0 +1,58 @@
+package org.cowsliplatch.internal.limit;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.cowsliplatch.internal.member.Member;
+import org.cowsliplatch.internal.steer.SteeringView;
+import org.cowsliplatch.table.Pool;
+
+/** Queries on a view about groups of endpoints. */
+final class Groups {
+    private Groups() {}
+
+    /** Returns the groups that have endpoints. */
+    static Set<GroupId> all(SteeringView view) {
+        Set<GroupId> groups = new HashSet<>();
+        for (Pool pool : view.tables().tables().pools().values()) {
+            for (String region : view.endpoints().regions(pool.service())) {
+                groups.add(new GroupId(pool.name(), region));
+            }
+        }
+        return groups;
+    }
+
+    /** Returns the endpoints of a group, leaving ones included. */
+    static List<Endpoint> endpoints(SteeringView view, GroupId group) {
+        Pool pool = view.tables().tables().pools().get(group.pool());
+        return pool == null ? List.of() : view.endpoints().endpoints(pool.service(), group.region());
+    }
+
+    /** Returns the live entry instances in the region of a group, or all if there is none. */
+    static Collection<String> candidates(SteeringView view, GroupId group) {
+        List<String> inRegion = new ArrayList<>();
+        List<String> all = new ArrayList<>();
+        for (Member member : view.members()) {
+            if (member.leaving()) {
+                continue;
+            }
+            all.add(member.name());
+            if (member.region().equals(group.region())) {
+                inRegion.add(member.name());
+            }
+        }
+        return inRegion.isEmpty() ? all : inRegion;
+    }
+
+    /** Returns the region of an entry instance, or an empty text if it is not known. */
+    static String regionOf(SteeringView view, String name) {
+        for (Member member : view.members()) {
+            if (member.name().equals(name)) {
+                return member.region();
+            }
+        }
+        return "";
+    }
+}
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotBroker.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotBroker.java
@@ -1,8 +1,6 @@
 package org.cowsliplatch.internal.limit;
 
 import java.util.ArrayList;
-import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -164,7 +162,7 @@
         view = newView;
         Set<String> now = names(newView.members());
         Map<GroupId, String> old = new HashMap<>(grantors);
-        for (GroupId group : groups(newView)) {
+        for (GroupId group : Groups.all(newView)) {
             assign(group, old.get(group));
         }
         for (Map.Entry<GroupId, Hosted> entry : hosted.entrySet()) {
@@ -285,45 +283,21 @@
         if (pool == null) {
             return null;
         }
-        Pool oneSlot = new Pool(pool.name(), pool.service(), 1, pool.regionWeights(), pool.ramp(), pool.queueLimit());
-        SlotGrantor share = new SlotGrantor(oneSlot, ticker, nextRandom());
+        SlotGrantor share = PrivateShare.grantor(pool, ticker, nextRandom());
         updateShare(group, share);
         return share;
     }
 
     /** Gives the share its part of the endpoints; leaving ones are dealt out too, so that the parts stay apart. */
     private List<SlotEvent> updateShare(GroupId group, SlotGrantor share) {
-        List<Endpoint> all = new ArrayList<>(endpoints(group));
-        all.sort(Comparator.comparing(Endpoint::id));
-        return share.endpoints(
-                partOf(all, candidates(group), self), view.endpoints().leaving());
-    }
-
-    /**
-     * Returns the endpoints that one of several holders may use on its own.
-     *
-     * <p>With at least as many endpoints as holders the parts do not overlap; otherwise each is one endpoint, and as
-     * few holders as possible share it.
-     */
-    static List<Endpoint> partOf(List<Endpoint> sorted, Collection<String> holders, String holder) {
-        List<String> names = holders.stream().sorted().toList();
-        int place = Math.max(0, names.indexOf(holder));
-        if (sorted.isEmpty()) {
-            return List.of();
-        }
-        if (sorted.size() < names.size()) {
-            return List.of(sorted.get(place % sorted.size()));
-        }
-        List<Endpoint> part = new ArrayList<>();
-        for (int i = place; i < sorted.size(); i += Math.max(1, names.size())) {
-            part.add(sorted.get(i));
-        }
-        return part;
+        List<Endpoint> part = PrivateShare.partOf(Groups.endpoints(view, group), Groups.candidates(view, group), self);
+        return share.endpoints(part, view.endpoints().leaving());
     }
 
     /** Gives a group to the grantor that the view names, and moves what waits there. */
     private void assign(GroupId group, @Nullable String old) {
-        String grantor = Rendezvous.owner(group.key(), candidates(group)).orElse(null);
+        String grantor =
+                Rendezvous.owner(group.key(), Groups.candidates(view, group)).orElse(null);
         if (grantor == null) {
             grantors.remove(group);
             return;
@@ -368,7 +342,8 @@
         deliver(
                 group,
                 self,
-                host.grantor.endpoints(endpoints(group), view.endpoints().leaving()));
+                host.grantor.endpoints(
+                        Groups.endpoints(view, group), view.endpoints().leaving()));
         for (PeerMessage.Holding holding : holdings(group)) {
             host.grantor.adopt(self, holding.askId(), holding.endpointId(), holding.rank());
         }
@@ -422,7 +397,8 @@
         deliver(
                 group,
                 self,
-                host.grantor.endpoints(endpoints(group), view.endpoints().leaving()));
+                host.grantor.endpoints(
+                        Groups.endpoints(view, group), view.endpoints().leaving()));
     }
 
     private void endLearningIfDue(GroupId group, Hosted host, long now) {
@@ -583,8 +559,8 @@
     }
 
     private long ackTimeout(String grantor) {
-        String region = regionOf(self);
-        return region.equals(regionOf(grantor)) ? ACK_TIMEOUT_NANOS : FAR_ACK_TIMEOUT_NANOS;
+        String region = Groups.regionOf(view, self);
+        return region.equals(Groups.regionOf(view, grantor)) ? ACK_TIMEOUT_NANOS : FAR_ACK_TIMEOUT_NANOS;
     }
 
     private void refuseLate(long now) {
@@ -607,36 +583,6 @@
         return holdings;
     }
 
-    private List<Endpoint> endpoints(GroupId group) {
-        Pool pool = view.tables().tables().pools().get(group.pool());
-        return pool == null ? List.of() : view.endpoints().endpoints(pool.service(), group.region());
-    }
-
-    /** Returns the live entry instances in the region of a group, or all if there is none. */
-    private Collection<String> candidates(GroupId group) {
-        List<String> inRegion = new ArrayList<>();
-        List<String> all = new ArrayList<>();
-        for (Member member : view.members()) {
-            if (member.leaving()) {
-                continue;
-            }
-            all.add(member.name());
-            if (member.region().equals(group.region())) {
-                inRegion.add(member.name());
-            }
-        }
-        return inRegion.isEmpty() ? all : inRegion;
-    }
-
-    private String regionOf(String name) {
-        for (Member member : view.members()) {
-            if (member.name().equals(name)) {
-                return member.region();
-            }
-        }
-        return "";
-    }
-
     private RandomGenerator nextRandom() {
         synchronized (random) {
             return random.split();
@@ -650,16 +596,6 @@
         }
     }
 
-    private static Set<GroupId> groups(SteeringView view) {
-        Set<GroupId> groups = new HashSet<>();
-        for (Pool pool : view.tables().tables().pools().values()) {
-            for (String region : view.endpoints().regions(pool.service())) {
-                groups.add(new GroupId(pool.name(), region));
-            }
-        }
-        return groups;
-    }
-
     private static Set<String> names(List<Member> members) {
         Set<String> names = new HashSet<>();
         members.forEach(member -> names.add(member.name()));
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/once/KeyLedger.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/once/KeyLedger.java
@@ -5,7 +5,6 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.jspecify.annotations.Nullable;
 
@@ -197,9 +196,4 @@
     private static Recorded unknown() {
         return new Recorded.Unknown("the request had not ended");
     }
-
-    /** Returns the longest time for which a prefix is useful, in ms. */
-    public static long firstUseMs() {
-        return TimeUnit.MINUTES.toMillis(FIRST_USE_MINUTES);
-    }
 }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/platform/HttpInstanceList.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/platform/HttpInstanceList.java
@@ -1,15 +1,12 @@
 package org.cowsliplatch.internal.platform;
 
-import java.io.IOException;
 import java.net.URI;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import org.cowsliplatch.errors.PlatformUnavailableException;
-import org.cowsliplatch.internal.util.Json;
 import org.cowsliplatch.platform.Instance;
 import org.cowsliplatch.platform.InstanceList;
-import org.eclipse.jetty.client.ContentResponse;
 import org.eclipse.jetty.client.HttpClient;
 
 /** Instance list behind HTTP and JSON. */
@@ -38,11 +35,6 @@
 
     @Override
     public List<Instance> instances() throws PlatformUnavailableException {
-        ContentResponse response = http.read(PATH, Map.of());
-        try {
-            return Json.read(response.getContent(), Instances.class).instances();
-        } catch (IOException e) {
-            throw http.damaged(PATH, e);
-        }
+        return http.read(PATH, Map.of(), Instances.class).instances();
     }
 }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/platform/HttpMeasurements.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/platform/HttpMeasurements.java
@@ -1,14 +1,11 @@
 package org.cowsliplatch.internal.platform;
 
-import java.io.IOException;
 import java.net.URI;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import org.cowsliplatch.errors.PlatformUnavailableException;
-import org.cowsliplatch.internal.util.Json;
 import org.cowsliplatch.platform.Measurements;
-import org.eclipse.jetty.client.ContentResponse;
 import org.eclipse.jetty.client.HttpClient;
 
 /** Measurements of links behind HTTP and JSON. */
@@ -37,11 +34,6 @@
 
     @Override
     public List<LinkTraffic> links() throws PlatformUnavailableException {
-        ContentResponse response = http.read(PATH, Map.of());
-        try {
-            return Json.read(response.getContent(), Links.class).links();
-        } catch (IOException e) {
-            throw http.damaged(PATH, e);
-        }
+        return http.read(PATH, Map.of(), Links.class).links();
     }
 }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/platform/HttpTableService.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/platform/HttpTableService.java
@@ -59,22 +59,13 @@
         if (response.getStatus() == HttpStatus.NOT_FOUND_404) {
             return Optional.empty();
         }
-        try {
-            return Optional.of(Json.read(response.getContent(), Row.class));
-        } catch (IOException e) {
-            throw http.damaged("/row", e);
-        }
+        return Optional.of(http.decode(response, "/row", Row.class));
     }
 
     @Override
     public List<Row> scan(String prefix, String from, int limit) throws PlatformUnavailableException {
         Map<String, String> params = Map.of("prefix", prefix, "from", from, "limit", Integer.toString(limit));
-        ContentResponse response = http.read("/rows", params);
-        try {
-            return Json.read(response.getContent(), Rows.class).rows();
-        } catch (IOException e) {
-            throw http.damaged("/rows", e);
-        }
+        return http.read("/rows", params, Rows.class).rows();
     }
 
     @Override
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/platform/PlatformHttp.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/platform/PlatformHttp.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.cowsliplatch.errors.PlatformUnavailableException;
+import org.cowsliplatch.internal.util.Json;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.ContentResponse;
 import org.eclipse.jetty.client.HttpClient;
@@ -56,6 +57,20 @@
         }
     }
 
+    /** Reads a JSON value; any failure has no effect. */
+    <T> T read(String path, Map<String, String> params, Class<T> type) throws PlatformUnavailableException {
+        return decode(read(path, params), path, type);
+    }
+
+    /** Returns the JSON value in an answer. */
+    <T> T decode(ContentResponse response, String path, Class<T> type) throws PlatformUnavailableException {
+        try {
+            return Json.read(response.getContent(), type);
+        } catch (IOException e) {
+            throw new PlatformUnavailableException(service, "damaged answer to " + path, e);
+        }
+    }
+
     /** Writes; a lost answer leaves the effect open. */
     ContentResponse write(String method, String path, byte[] content, String type)
             throws PlatformUnavailableException, LostAnswerException {
@@ -82,9 +97,4 @@
             throw new LostAnswerException(e);
         }
     }
-
-    /** Turns an unreadable answer into a failure of the service. */
-    PlatformUnavailableException damaged(String path, IOException cause) {
-        return new PlatformUnavailableException(service, "damaged answer to " + path, cause);
-    }
 }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/EntryContext.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/EntryContext.java
@@ -1,6 +1,5 @@
 package org.cowsliplatch.internal.proxy;
 
-import java.time.Duration;
 import java.util.concurrent.Executor;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.Supplier;
@@ -35,7 +34,6 @@
  * @param tracing traces
  * @param blocking threads for work that waits for the platform
  * @param bodyBytes longest request body
- * @param forwardTimeout longest wait for the owner of a key
  */
 public record EntryContext(
         String self,
@@ -53,5 +51,4 @@
         Metrics metrics,
         Tracing tracing,
         Executor blocking,
-        long bodyBytes,
-        Duration forwardTimeout) {}
+        long bodyBytes) {}
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Exchange.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Exchange.java
@@ -457,7 +457,9 @@
                 finish(afterAttempts(result.detail()));
                 return;
             }
+            GroupId group = new GroupId(pool.name(), lease.endpoint().region());
             boolean again = body.isSendable()
+                    && !context.headroom().isOverloaded(group)
                     && RetryPolicy.repeat(result, route.idempotent(), attempts, leftMs(), retryBudget);
             if (again) {
                 response.reset();
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/KeyStep.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/KeyStep.java
@@ -1,5 +1,7 @@
 package org.cowsliplatch.internal.proxy;
 
+import io.opentelemetry.api.trace.Span;
+import io.opentelemetry.api.trace.SpanKind;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -79,7 +81,10 @@
     }
 
     private void claimInStore(IdempotencyKey.Foreign key) {
+        Span store = context.tracing().child(exchange.span(), "store", SpanKind.CLIENT);
         StoreClaims.Claim claim = context.keys().claims().claim(key, Exchange.nonce());
+        store.setAttribute("cowsliplatch.claim", claim.getClass().getSimpleName());
+        store.end();
         if (claim instanceof StoreClaims.Claim.Mine) {
             context.metrics().keyClaim("store");
             exchange.acquire();
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/settings/SettingsSection.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/settings/SettingsSection.java
@@ -6,7 +6,6 @@
 import java.net.URISyntaxException;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -293,9 +292,4 @@
     private static String plain(double value) {
         return value == Math.rint(value) ? Long.toString((long) value) : Double.toString(value);
     }
-
-    /** Returns the fields that were asked for, for tests of completeness. */
-    Map<String, JsonNode> fields() {
-        return new LinkedHashMap<>(fields);
-    }
 }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/steer/Headroom.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/steer/Headroom.java
@@ -19,10 +19,12 @@
 
     private static final class Report {
         final long atNanos;
+        final boolean overloaded;
         double left;
 
-        Report(long atNanos, double left) {
+        Report(long atNanos, boolean overloaded, double left) {
             this.atNanos = atNanos;
+            this.overloaded = overloaded;
             this.left = left;
         }
     }
@@ -47,7 +49,13 @@
         Report before = reports.get(group);
         // Fractions add up over reports, so that a small region is not closed to all for ever.
         double carried = before == null || usable == 0 ? 0 : Math.min(1, before.left);
-        reports.put(group, new Report(ticker.nanos(), usable + carried));
+        reports.put(group, new Report(ticker.nanos(), load.waiting() > load.slots(), usable + carried));
+    }
+
+    /** Returns whether more requests wait for a group than it has slots, by a report known to be fresh. */
+    public boolean isOverloaded(GroupId group) {
+        Report report = reports.get(group);
+        return report != null && report.overloaded && ticker.nanos() - report.atNanos <= FRESH_NANOS;
     }
 
     /** Takes one slot of headroom in a group; returns whether there was any that is known to be fresh. */
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/steer/InstanceFollower.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/steer/InstanceFollower.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.random.RandomGenerator;
 import org.cowsliplatch.errors.PlatformUnavailableException;
+import org.cowsliplatch.internal.util.PollDelay;
 import org.cowsliplatch.platform.Instance;
 import org.cowsliplatch.platform.InstanceList;
 import org.jboss.logging.Logger;
@@ -17,9 +18,8 @@
     private final InstanceList list;
     private final String entryService;
     private final ViewKeeper views;
-    private final RandomGenerator random;
+    private final PollDelay delay;
     private volatile List<String> peerAddresses = List.of();
-    private int failures;
 
     /**
      * Creates a follower.
@@ -33,7 +33,7 @@
         this.list = list;
         this.entryService = entryService;
         this.views = views;
-        this.random = random;
+        this.delay = new PollDelay(PERIOD_MS, LONGEST_BACKOFF_MS, random);
     }
 
     /** Reads the list once; on failure, or if it has become empty, what was known stays. */
@@ -42,11 +42,13 @@
         try {
             instances = list.instances();
         } catch (PlatformUnavailableException e) {
-            failures++;
-            LOG.debugf("instance list could not be read: %s", e.getMessage());
+            LOG.logf(
+                    delay.failed() ? Logger.Level.WARN : Logger.Level.DEBUG,
+                    "instance list could not be read: %s",
+                    e.getMessage());
             return;
         }
-        failures = 0;
+        delay.answered();
         List<Instance> backends = new ArrayList<>();
         List<String> peers = new ArrayList<>();
         for (Instance instance : instances) {
@@ -73,7 +75,6 @@
 
     /** Returns the time in ms to wait before the next read: jittered, and longer after failures. */
     public long nextDelayMs() {
-        long base = Math.min(LONGEST_BACKOFF_MS, PERIOD_MS << Math.min(failures, 10));
-        return base / 2 + random.nextLong(base);
+        return delay.nextMs();
     }
 }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/table/TableFollower.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/table/TableFollower.java
@@ -4,6 +4,7 @@
 import java.util.random.RandomGenerator;
 import org.cowsliplatch.errors.TableException;
 import org.cowsliplatch.errors.TableRegressionException;
+import org.cowsliplatch.internal.util.PollDelay;
 import org.cowsliplatch.table.TableChange;
 import org.jboss.logging.Logger;
 
@@ -26,8 +27,7 @@
 
     private final TableReader reader;
     private final TableLog log;
-    private final RandomGenerator random;
-    private int failures;
+    private final PollDelay delay;
 
     /**
      * Creates a follower.
@@ -39,7 +39,7 @@
     public TableFollower(TableReader reader, TableLog log, RandomGenerator random) {
         this.reader = reader;
         this.log = log;
-        this.random = random;
+        this.delay = new PollDelay(PERIOD_MS, LONGEST_BACKOFF_MS, random);
     }
 
     /** Asks the store for newer versions and puts them into force. */
@@ -47,15 +47,14 @@
         try {
             TableHead head = reader.head();
             Round round = follow(head);
-            failures = 0;
+            delay.answered();
             return round;
         } catch (TableRegressionException e) {
             LOG.errorf("refused tables of the store: %s", e.getMessage());
             return Round.REFUSED;
         } catch (TableException e) {
-            failures++;
             LOG.logf(
-                    failures == 1 ? Logger.Level.WARN : Logger.Level.DEBUG,
+                    delay.failed() ? Logger.Level.WARN : Logger.Level.DEBUG,
                     "tables of the store could not be read: %s",
                     e.getMessage());
             return Round.STORE_AWAY;
@@ -64,8 +63,7 @@
 
     /** Returns the time in ms to wait before the next round: jittered, and longer after failures. */
     public long nextDelayMs() {
-        long base = Math.min(LONGEST_BACKOFF_MS, PERIOD_MS << Math.min(failures, 10));
-        return base / 2 + random.nextLong(base);
+        return delay.nextMs();
     }
 
     private Round follow(TableHead head) throws TableException {
