Tell truly what leases read from the store; loop over them plainly

Cause: a last read of the change. The loop copied keys, looked each up and checked for an absence that can't be.

--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/link/LinkLeases.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/link/LinkLeases.java
@@ -1,6 +1,5 @@
 package org.cowsliplatch.internal.link;
 
-import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
@@ -52,21 +51,18 @@
         return lease == null ? 0 : lease.units();
     }
 
-    /** Renews the leases by the use since the last call; blocks on the store only where there was use. */
+    /** Renews the leases by the use since the last call; blocks on one read of the store for each link, used or not. */
     public void step(LinkPacer pacer) {
         long now = ticker.nanos();
         double seconds = Math.max(0.001, (now - beforeNanos) / 1e9);
         beforeNanos = now;
-        for (LinkId link : List.copyOf(leases.keySet())) {
+        leases.forEach((link, lease) -> {
             long charged = pacer.charged(link);
             long before = chargedBefore.getOrDefault(link, 0L);
             chargedBefore.put(link, charged);
             double bits = (charged - before) * BITS_PER_BYTE / seconds;
-            LinkLease lease = leases.get(link);
-            if (lease != null) {
-                lease.step(wanted(link, bits));
-            }
-        }
+            lease.step(wanted(link, bits));
+        });
     }
 
     /** Returns the time in ms to wait before the next step. */
