--- a/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/AtMostOnceTest.java
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/AtMostOnceTest.java
@@ -214,6 +214,24 @@
         assertThat(runs(key)).isEqualTo(1);
     }
 
+    @Test
+    void forwardAndStoreHopsHaveSpans() {
+        String trace = "4bf92f3577b34da6a3ce929d0e0e4736";
+        String owned = key("entry-1");
+        for (String key : List.of(owned, "order-aaaabbbbccccdddd")) {
+            TestSystem.send(booking(1, key)
+                    .headers(headers -> headers.put("traceparent", "00-" + trace + "-00f067aa0ba902b7-01")));
+        }
+
+        String spans = TestSystem.send(system.http()
+                        .newRequest("http://127.0.0.1:"
+                                + entries.get(1).adminAddress().getPort() + "/v1/admin/traces/" + trace)
+                        .headers(headers -> headers.put("Authorization", "Bearer " + TestSystem.TOKEN)))
+                .getContentAsString();
+        assertThat(spans).contains("\"forward\"");
+        assertThat(spans).contains("\"store\"");
+    }
+
     @Test
     void lostAnswerOfTheStoreDoesNotRunAKeyTwice() {
         String key = "order-0123456789abcdef";
