Eject endpoints by comparison with their pool

Ruled out: the retry budget (95 refusals of 950).

Change: health ejects an endpoint only if it succeeds less than half as often as the others; a refusal rests a slot only where the pool as a whole is sound.

A refused connection still ejects at once.

--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/EndpointSet.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/EndpointSet.java
@@ -22,6 +22,11 @@
     /** Largest share of the endpoints that health alone may keep out. */
     private static final double MOST_EJECTED = 1.0 / 3;
 
+    /** Share of the successes of its pool below which an endpoint is worse than the others, not just like them. */
+    private static final double OUTLIER_SUCCESS = 0.5;
+    /** Mean share of failures in a pool from which they are taken as no fault of single endpoints. */
+    private static final double WIDESPREAD_FAILURES = 0.25;
+
     private static final int PICK_TRIES = 4;
 
     private final RandomGenerator random;
@@ -207,7 +212,10 @@
         replace(endpoint, now);
     }
 
-    /** Notes how a use ended and ejects the endpoint if it must be, and if enough others remain. */
+    /**
+     * Notes how a use ended and ejects the endpoint if it fails more than the others do, and if enough remain. Where
+     * all fail alike, keeping some out would only press the rest harder and scatter what they remember.
+     */
     void note(EndpointSlots endpoint, SlotOutcome outcome, long now) {
         if (outcome == SlotOutcome.LEAVING) {
             endpoint.leave();
@@ -215,9 +223,16 @@
             count(now);
             return;
         }
-        boolean eject = endpoint.note(outcome, now);
+        if (outcome.isGood()) {
+            endpoint.note(outcome, false, now);
+            replace(endpoint, now);
+            return;
+        }
+        double others = meanBadness(endpoint);
+        boolean eject = endpoint.note(outcome, others >= WIDESPREAD_FAILURES, now);
         boolean certain = outcome == SlotOutcome.REFUSED;
-        if (eject && !endpoint.isGone() && (certain || mayEjectOneMore(now))) {
+        boolean outlier = 1 - endpoint.badness() < (1 - others) * OUTLIER_SUCCESS;
+        if (eject && !endpoint.isGone() && (certain || (outlier && mayEjectOneMore(now)))) {
             endpoint.eject(now);
             count(now);
         }
@@ -237,6 +252,19 @@
         return free > before;
     }
 
+    /** Returns the mean share of failures at the other endpoints, 0 if there are none. */
+    private double meanBadness(EndpointSlots but) {
+        double sum = 0;
+        int others = 0;
+        for (EndpointSlots endpoint : byId.values()) {
+            if (!endpoint.equals(but) && !endpoint.isLeaving() && !endpoint.isSuspended()) {
+                sum += endpoint.badness();
+                others++;
+            }
+        }
+        return others == 0 ? 0 : sum / others;
+    }
+
     private boolean mayEjectOneMore(long now) {
         int ejected = 0;
         int usable = 0;
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/EndpointSlots.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/EndpointSlots.java
@@ -13,6 +13,9 @@
     /** Share of failures, weighted towards the latest, from which an endpoint is kept out. */
     private static final double MOST_FAILURES = 0.5;
 
+    /** Share of failures that several in a row stand for, before the mean has followed them. */
+    private static final double BAD_AFTER_ROW = 0.75;
+
     private static final long SECOND_NANOS = 1_000_000_000L;
     private static final long FIRST_EJECTION_NANOS = 1_000_000_000L;
     private static final long LONGEST_EJECTION_NANOS = 30_000_000_000L;
@@ -162,8 +165,17 @@
         return now < shedUntil || now < ejectedUntil || now - coldSince < warmth.rampNanos() || isCold(now);
     }
 
-    /** Notes how a use ended; returns whether the endpoint deserves to be ejected. */
-    boolean note(SlotOutcome outcome, long now) {
+    /** Returns the share of uses that failed, weighted towards the latest, or more after several in a row. */
+    double badness() {
+        return failuresInRow >= FAILURES_TO_EJECT ? Math.max(failures, BAD_AFTER_ROW) : failures;
+    }
+
+    /**
+     * Notes how a use ended; returns whether the endpoint deserves to be ejected if others do better.
+     *
+     * @param isWidespread whether its pool as a whole fails, so that a refusal says little of this endpoint's load
+     */
+    boolean note(SlotOutcome outcome, boolean isWidespread, long now) {
         if (outcome.isGood()) {
             failuresInRow = 0;
             failures -= FAILURE_GAIN * failures;
@@ -173,7 +185,7 @@
             return false;
         }
         if (outcome == SlotOutcome.SHED) {
-            shedUntil = now + SHED_REST_NANOS;
+            shedUntil = isWidespread ? shedUntil : now + SHED_REST_NANOS;
         } else if (!outcome.isBad()) {
             return false;
         } else {
