Serve callers that come back with what those in time leave over

They were given a fresh target, though a caller's target counts from its first try, so they took slots from requests that could still be in time; most of them were late all the same or refused again.

Requests that will be late anyway wait apart and get free slots that no other wants, warm ones as long as the pool is busy.

--- a/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/WarmLoad.java
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/WarmLoad.java
@@ -35,6 +35,7 @@
     private static final long DEADLINE_MS = 1_200;
     /** Time in ms after which a refused caller comes back, once. */
     private static final long RETURN_MS = 700;
+
     private static final int SLOTS = 3;
     /** Objects that an endpoint of the users' look-ups remembers. */
     private static final int REMEMBERED = 18;
@@ -63,8 +64,8 @@
     private final List<ListedEndpoint> listed = new ArrayList<>();
     private final Map<String, Set<String>> memories = new HashMap<>();
     private final Map<Long, Long> arrivals = new HashMap<>();
-    private final PriorityQueue<End> ends =
-            new PriorityQueue<>((a, b) -> a.atMs() == b.atMs() ? Long.compare(a.askId(), b.askId()) : Long.compare(a.atMs(), b.atMs()));
+    private final PriorityQueue<End> ends = new PriorityQueue<>(
+            (a, b) -> a.atMs() == b.atMs() ? Long.compare(a.askId(), b.askId()) : Long.compare(a.atMs(), b.atMs()));
     private final ArrayDeque<Return> returns = new ArrayDeque<>();
     private final Set<Long> returned = new HashSet<>();
     private SlotGrantor grantor;
@@ -82,7 +83,8 @@
         this.perSecond = perSecond;
         for (int i = 0; i < endpoints; i++) {
             String id = "e" + i;
-            listed.add(ListedEndpoint.usual(new Endpoint(id, "10.0.0." + (i + 1) + ":80", "r", i % 2 == 0 ? "a" : "b")));
+            listed.add(
+                    ListedEndpoint.usual(new Endpoint(id, "10.0.0." + (i + 1) + ":80", "r", i % 2 == 0 ? "a" : "b")));
         }
         grantor = newGrantor();
     }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/DeployedEntry.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/DeployedEntry.java
@@ -20,6 +20,7 @@
 import java.util.function.Consumer;
 import org.cowsliplatch.errors.EntryStartException;
 import org.cowsliplatch.internal.limit.RetryBudgets;
+import org.cowsliplatch.internal.limit.ReturningCallers;
 import org.cowsliplatch.internal.limit.SlotBroker;
 import org.cowsliplatch.internal.member.Member;
 import org.cowsliplatch.internal.member.Membership;
@@ -60,10 +61,6 @@
     private static final int HEADER_BYTES = 64 * 1024;
     /** Time that connection, request and answer spend between caller and entry instance. */
     private static final Duration CALLER_DELAY = Duration.ofMillis(40);
-    /** Shortest time in ms after which refused callers come back: a few times that of a run. */
-    private static final long LEAST_RETURN_MS = 150;
-    /** Longest time in ms for the same, within what callers honour; returns are spread between the two. */
-    private static final long MOST_RETURN_MS = 600;
     /** Longest time in ns that the first look for peers may hold readiness up. */
     private static final long LONGEST_JOIN_NANOS = 2_000_000_000L;
 
@@ -210,7 +207,9 @@
                 timers,
                 store::bodyBytes,
                 format.dialect(),
-                new ServingPolicy(HELD_BYTES, CALLER_DELAY, false, DeployedEntry::returnDelay),
+                new ServingPolicy(
+                        HELD_BYTES, CALLER_DELAY, false, new ReturningCallers(() -> ThreadLocalRandom.current()
+                                .nextDouble())),
                 callers,
                 decisions);
     }
@@ -221,10 +220,6 @@
         return Math.max(settings.repeats().sharers(), mostMembers);
     }
 
-    private static Duration returnDelay() {
-        return Duration.ofMillis(ThreadLocalRandom.current().nextLong(LEAST_RETURN_MS, MOST_RETURN_MS));
-    }
-
     private Member self() {
         TableVersion version = log.current();
         return new Member(
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotGrantor.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotGrantor.java
@@ -38,6 +38,10 @@
     private static final double COLD_MARGIN = 1.2;
     /** Share of the slots that must be free for a request to run that can no longer be in time. */
     private static final double IDLE_SHARE = 0.3;
+    /** Longest wait in ns of a request that is late already for a slot that no other wants. */
+    private static final long MOST_OVERDUE_WAIT_NANOS = 400_000_000L;
+    /** Share of the slots that must be free for such a request, so that those in time still find one. */
+    private static final double OVERDUE_RESERVE = 0.1;
     /** Asks of one rank that are looked at for a slot that suits them. */
     private static final int MOST_LOOKED_AT = 64;
     /** Mean number of urgent requests below which no slot is kept free for them. */
@@ -61,6 +65,9 @@
     private final Ticker ticker;
     private final EndpointSet endpoints;
     private final RankQueues queues = new RankQueues();
+    /** Asks whose answer will be late whatever is done: they get the slots that those in time leave over. */
+    private final RankQueues overdue = new RankQueues();
+
     private final Map<Key, Outstanding> grants = new HashMap<>();
     private final ArrayDeque<MaybeBusy> maybeBusy = new ArrayDeque<>();
     private final ServiceTime serviceTime = new ServiceTime();
@@ -106,6 +113,10 @@
     public synchronized List<SlotEvent> ask(Ask ask) {
         long now = ticker.nanos();
         List<SlotEvent> events = new ArrayList<>(1);
+        if (isOverdue(ask, now)) {
+            askOverdue(ask, now, events);
+            return events;
+        }
         if (ask.isAimed() && !learning && queues.sizeUpTo(ask.rank()) == 0 && tryGrant(ask, now, events)) {
             return events;
         }
@@ -119,9 +130,25 @@
         return events;
     }
 
+    /** Returns whether an answer would be late even if a slot came free now. */
+    private boolean isOverdue(Ask ask, long now) {
+        return ask.want().dueNanos() < ask.deadlineNanos() && now > latestStart(ask);
+    }
+
+    private void askOverdue(Ask ask, long now, List<SlotEvent> events) {
+        if (endpoints.isEmpty()) {
+            events.add(new SlotEvent.Refused(ask, Refusal.NO_ENDPOINT));
+        } else if (overdue.size() >= queueLimit) {
+            events.add(new SlotEvent.Refused(ask, Refusal.QUEUE_FULL));
+        } else {
+            overdue.add(ask);
+            dispatch(now, events);
+        }
+    }
+
     /** Takes back an ask that is still waiting; returns whether it was. */
     public synchronized boolean cancel(String holder, long askId) {
-        return queues.remove(holder, askId);
+        return queues.remove(holder, askId) || overdue.remove(holder, askId);
     }
 
     /** Takes back the slot that an ask got; an unknown one is passed over. */
@@ -154,12 +181,14 @@
     /** Takes all waiting asks back, oldest first within each rank. */
     public synchronized List<Ask> drain() {
         List<Ask> waiting = new ArrayList<>();
-        for (int i = 0; i < Rank.count(); i++) {
-            Ask ask = queues.peek(Rank.at(i));
-            while (ask != null) {
-                queues.remove(ask);
-                waiting.add(ask);
-                ask = queues.peek(Rank.at(i));
+        for (RankQueues all : List.of(queues, overdue)) {
+            for (int i = 0; i < Rank.count(); i++) {
+                Ask ask = all.peek(Rank.at(i));
+                while (ask != null) {
+                    all.remove(ask);
+                    waiting.add(ask);
+                    ask = all.peek(Rank.at(i));
+                }
             }
         }
         return waiting;
@@ -169,6 +198,7 @@
     public synchronized void holderGone(String holder) {
         long now = ticker.nanos();
         queues.removeHolder(holder);
+        overdue.removeHolder(holder);
         Iterator<Map.Entry<Key, Outstanding>> all = grants.entrySet().iterator();
         while (all.hasNext()) {
             Map.Entry<Key, Outstanding> entry = all.next();
@@ -213,6 +243,7 @@
         endpoints.tick(now);
         for (int i = 0; i < Rank.count(); i++) {
             dropLate(Rank.at(i), now, events);
+            dropOverdue(Rank.at(i), now, events);
         }
         dispatch(now, events);
         return events;
@@ -220,7 +251,8 @@
 
     /** Returns what is free, waiting and in use now. */
     public synchronized GroupLoad load() {
-        return new GroupLoad(endpoints.total(), endpoints.free(), grants.size() + maybeBusy.size(), queues.size());
+        int waiting = queues.size() + overdue.size();
+        return new GroupLoad(endpoints.total(), endpoints.free(), grants.size() + maybeBusy.size(), waiting);
     }
 
     /** Returns the most requests outstanding at any endpoint now. */
@@ -287,6 +319,9 @@
      * still be in time, or where it would be late anyway and a wait may bring it in time.
      */
     private boolean isPatient(Ask ask, long now) {
+        if (isOverdue(ask, now)) {
+            return !isIdle();
+        }
         double cold = coldTime.mean();
         if (cold == 0 || warmTime.mean() > cold * WORTHWHILE_GAIN || now > latestStart(ask)) {
             return false;
@@ -306,15 +341,41 @@
         }
     }
 
+    private void dropOverdue(Rank rank, long now, List<SlotEvent> events) {
+        Ask oldest = overdue.peek(rank);
+        while (oldest != null && now - oldest.sinceNanos() > MOST_OVERDUE_WAIT_NANOS) {
+            overdue.remove(oldest);
+            events.add(new SlotEvent.Refused(oldest, Refusal.TOO_LATE));
+            oldest = overdue.peek(rank);
+        }
+    }
+
     private void dispatch(long now, List<SlotEvent> events) {
         boolean[] stuck = new boolean[Rank.count()];
         while (endpoints.free() > 0 && !learning) {
             Rank rank = nextRank(now, stuck);
             if (rank == null) {
-                return;
+                break;
             }
             stuck[rank.ordinal()] = !grantOne(rank, now, events);
         }
+        if (!learning) {
+            dispatchOverdue(now, events);
+        }
+    }
+
+    /** Grants slots that no request in time wants now to those that are late already. */
+    private void dispatchOverdue(long now, List<SlotEvent> events) {
+        for (int i = 0; i < Rank.count(); i++) {
+            for (Ask ask : overdue.oldest(Rank.at(i), MOST_LOOKED_AT)) {
+                if (endpoints.free() <= endpoints.total() * OVERDUE_RESERVE) {
+                    return;
+                }
+                if (tryGrant(ask, now, events)) {
+                    overdue.remove(ask);
+                }
+            }
+        }
     }
 
     /** Grants a slot to the oldest ask of a rank that one suits; returns whether there was any. */
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Exchange.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Exchange.java
@@ -60,6 +60,9 @@
     private final RequestStory story = new RequestStory();
     private final String object;
     private final @Nullable String requestId;
+    /** Estimate of how long ago the caller first sent the request, zero for a new caller. */
+    private final Duration sinceFirst;
+
     private int attempts;
     private int unseenAttempts;
     private boolean anyMayHaveRun;
@@ -73,12 +76,13 @@
         this.response = response;
         this.callback = callback;
         this.startNanos = context.ticker().nanos();
-        this.deadlineNanos = startNanos + TimeUnit.MILLISECONDS.toNanos(timeoutMs(request, route));
+        this.deadlineNanos = startNanos + TimeUnit.MILLISECONDS.toNanos(timeoutMs(route));
         this.object = route.options().sticky() ? objectOf(request) : "";
         this.requestId = context.dialect()
                 .identity()
                 .map(identity -> request.getHeaders().get(identity.request()))
                 .orElse(null);
+        this.sinceFirst = context.policy().returns().sinceFirst(route.name(), callerMs());
         this.retryBudget = context.retries().of(pool.name());
         this.span = context.tracing()
                 .receive(
@@ -90,10 +94,9 @@
         span.setAttribute("cowsliplatch.rank", route.rank().text());
     }
 
-    private long timeoutMs(Request request, Route route) {
+    private long timeoutMs(Route route) {
         long limit = route.timeout().toMillis();
-        String asked = request.getHeaders().get(context.dialect().timeLeft());
-        return asked == null ? limit : Math.max(1, Math.min(limit, Long.parseLong(asked)));
+        return callerMs() < 0 ? limit : Math.max(1, Math.min(limit, callerMs()));
     }
 
     private String objectOf(Request request) {
@@ -140,6 +143,17 @@
         return body;
     }
 
+    /** Returns the time in ms that the caller will wait from the request's arrival, or -1 if it does not say. */
+    long callerMs() {
+        String asked = request.getHeaders().get(context.dialect().timeLeft());
+        return asked == null ? -1 : Long.parseLong(asked);
+    }
+
+    /** Returns the estimate in ms of how long ago the caller first sent the request. */
+    long sinceFirstMs() {
+        return sinceFirst.toMillis();
+    }
+
     /** Returns the time left in ms, negative if it is past. */
     long leftMs() {
         return TimeUnit.NANOSECONDS.toMillis(deadlineNanos - context.ticker().nanos());
@@ -199,6 +213,7 @@
 
     private Ask.Want want() {
         long due = startNanos
+                - sinceFirst.toNanos()
                 + route.options().target().toNanos()
                 - context.policy().callerDelay().toNanos();
         return new Ask.Want(
@@ -289,7 +304,7 @@
                 HttpStatus.SERVICE_UNAVAILABLE_503,
                 detail,
                 Outcome.NOT_RUN,
-                context.policy().returnDelay().get());
+                context.policy().returns().delay(route.name(), callerMs()));
     }
 
     private void send(SlotSource.Lease lease) {
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/RequestStory.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/RequestStory.java
@@ -62,6 +62,8 @@
                 .with("outcome", end.outcome())
                 .with("status", end.status())
                 .with("ms", TimeUnit.NANOSECONDS.toMillis(end.nanos()))
+                .with("callerMs", exchange.callerMs())
+                .with("sinceFirstMs", exchange.sinceFirstMs())
                 .with("steps", List.copyOf(steps));
         if (!end.detail().isEmpty()) {
             line.with("reason", end.detail());
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/ServingPolicy.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/ServingPolicy.java
@@ -1,7 +1,7 @@
 package org.cowsliplatch.internal.proxy;
 
 import java.time.Duration;
-import java.util.function.Supplier;
+import org.cowsliplatch.internal.limit.ReturnPolicy;
 
 /**
  * What differs between deployments in how requests are served.
@@ -11,13 +11,12 @@
  *     target of its route
  * @param cutsSilentAttempts whether an attempt at an idempotent request is cut before its deadline, so that time for
  *     another remains
- * @param returnDelay time after which a refused caller should come back
+ * @param returns when refused callers come back, and how they are known then
  */
-public record ServingPolicy(
-        int heldBytes, Duration callerDelay, boolean cutsSilentAttempts, Supplier<Duration> returnDelay) {
+public record ServingPolicy(int heldBytes, Duration callerDelay, boolean cutsSilentAttempts, ReturnPolicy returns) {
     private static final int USUAL_HELD_BYTES = 64 * 1024;
 
     /** Policy of the product's own interface. */
     public static final ServingPolicy USUAL =
-            new ServingPolicy(USUAL_HELD_BYTES, Duration.ZERO, true, () -> Duration.ofSeconds(1));
+            new ServingPolicy(USUAL_HELD_BYTES, Duration.ZERO, true, ReturnPolicy.UNKNOWN_LIMITS);
 }
