Describe a member and note that it was described in one step

Cause: ClusterTest.changeSpreadsFromPeerToPeerWhenTheStoreGoesAway failed twice in ten runs at "all know each other": all four instances had the tables, and one was still believed to have none after 8 s. Two threads announced at once; one noted the old description as sent, the other noted and sent the new one, then the first sent the old one. The peer kept it, as nothing was left to send.

Change: comparing, noting and sending are one step for each connection.

Result: PeerTransportTest announces from two threads 2,000 times. It does not fail on the old code either, since the window is a few instructions; ClusterTest is rerun with the landing.

--- /dev/null
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/PeerTransportTest.java
@@ -0,0 +1,84 @@
+package org.cowsliplatch.test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicLong;
+import org.cowsliplatch.internal.member.Member;
+import org.cowsliplatch.internal.peer.PeerListener;
+import org.cowsliplatch.internal.peer.PeerMessage;
+import org.cowsliplatch.internal.peer.PeerTransport;
+import org.cowsliplatch.internal.util.Addresses;
+import org.cowsliplatch.internal.util.Ticker;
+import org.junit.jupiter.api.Test;
+
+/** Signs of life over real connections. */
+final class PeerTransportTest {
+    private static final InetSocketAddress ANY = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    private static final int ROUNDS = 2_000;
+
+    /** Keeps the version that a peer last described. */
+    private static final class Heard implements PeerListener {
+        final AtomicLong version = new AtomicLong(-1);
+
+        @Override
+        public void described(Member member) {
+            version.set(member.tableVersion());
+        }
+
+        @Override
+        public boolean alive(String from, List<PeerMessage.GroupReport> loads) {
+            return true;
+        }
+
+        @Override
+        public void received(String from, PeerMessage message) {}
+    }
+
+    private static Member member(String name, long version) {
+        return new Member(name, "0", "r", "z", "", "", "", false, version, "", "", List.of(), List.of());
+    }
+
+    @Test
+    void peerKnowsTheNewestDescriptionAfterSeveralThreadsAnnouncedAtOnce() throws Exception {
+        AtomicLong version = new AtomicLong();
+        Heard heard = new Heard();
+        try (PeerTransport receiver = new PeerTransport(() -> member("b", 0), Ticker.system(), heard);
+                PeerTransport sender =
+                        new PeerTransport(() -> member("a", version.get()), Ticker.system(), new Heard())) {
+            String address = Addresses.text(receiver.start(ANY));
+            sender.start(ANY);
+            sender.connect(List.of(address));
+            Await.until("the peer is known", () -> heard.version.get() == 0);
+            for (int i = 0; i < ROUNDS; i++) {
+                announceAtOnce(sender, version);
+                sender.heartbeat(List.of());
+                Await.until("the newest description is known", () -> heard.version.get() == version.get());
+            }
+        }
+
+        assertThat(heard.version.get()).isEqualTo(ROUNDS);
+    }
+
+    /** Announces from two threads while the description changes. */
+    private static void announceAtOnce(PeerTransport sender, AtomicLong version) throws InterruptedException {
+        CountDownLatch start = new CountDownLatch(1);
+        Thread other = new Thread(() -> {
+            try {
+                start.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            }
+            sender.heartbeat(List.of());
+        });
+        other.start();
+        start.countDown();
+        version.incrementAndGet();
+        sender.heartbeat(List.of());
+        other.join();
+    }
+}
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/peer/PeerTransport.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/peer/PeerTransport.java
@@ -157,6 +157,16 @@
                 close(link);
                 continue;
             }
+            beat(link, member, loads);
+        }
+    }
+
+    /**
+     * Sends a sign of life on one connection. What was last described and what was last sent must be the same, also
+     * when several threads send at once; else a peer would keep an old description.
+     */
+    private void beat(Link link, Member member, List<PeerMessage.GroupReport> loads) {
+        synchronized (link) {
             org.cowsliplatch.wire.Heartbeat.Builder heartbeat = PeerCodec.heartbeatWithoutMember(loads);
             if (!member.equals(link.described)) {
                 heartbeat.setMember(PeerCodec.member(member));
@@ -238,11 +248,13 @@
         public void channelActive(ChannelHandlerContext context) {
             Member member = self.get();
             link.heardNanos = ticker.nanos();
-            link.described = member;
-            context.write(Frame.newBuilder()
-                    .setHello(Hello.newBuilder().setName(member.name()))
-                    .build());
-            context.writeAndFlush(PeerCodec.frame(new PeerMessage.Heartbeat(member, List.of())));
+            synchronized (link) {
+                link.described = member;
+                context.write(Frame.newBuilder()
+                        .setHello(Hello.newBuilder().setName(member.name()))
+                        .build());
+                context.writeAndFlush(PeerCodec.frame(new PeerMessage.Heartbeat(member, List.of())));
+            }
         }
 
         @Override
