Pass changes of the store on within a region

Peers' descriptions also named all peers, so each arrival changed all of them.

Change: in a region of more than four instances, three read and pass changes on with the version that they follow; the others read for themselves when a reader is silent for 1.5 s, when none told of the store for 5.5 s, and what they missed. Descriptions no longer name peers on the platform, where the store lists them.

Result: FollowingTest covers taking, gaps, silent readers and small regions.

--- a/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/FollowingTest.java
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/FollowingTest.java
@@ -11,11 +11,16 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
 import org.cowsliplatch.errors.HistoryLostException;
 import org.cowsliplatch.errors.PlatformUnavailableException;
+import org.cowsliplatch.internal.follow.ChangeRelay;
 import org.cowsliplatch.internal.follow.TableWatch;
+import org.cowsliplatch.internal.member.Member;
+import org.cowsliplatch.internal.peer.PeerMessage;
 import org.cowsliplatch.internal.steer.EndpointBook;
 import org.cowsliplatch.internal.telemetry.DecisionLog;
+import org.cowsliplatch.internal.util.Rendezvous;
 import org.cowsliplatch.platform.EndpointRow;
 import org.cowsliplatch.platform.Instance;
 import org.cowsliplatch.platform.RowStore;
@@ -27,14 +32,21 @@
     private final EndpointBook book = new EndpointBook(Map.of("z", "r"), ticker, DecisionLog.none());
     private final FakeStore store = new FakeStore();
     private final List<String> told = new ArrayList<>();
-    private final TableWatch watch =
-            new TableWatch(store, "t", Duration.ZERO, ticker, new SplittableRandom(1), new Told(), DecisionLog.none());
+    /** Changes passed on, by receiver. */
+    private final Map<String, List<PeerMessage>> passed = new TreeMap<>();
+
+    private final ChangeRelay relay = new ChangeRelay(
+            "self", "r", ticker, (member, message) -> passed.computeIfAbsent(member, key -> new ArrayList<>())
+                    .add(message));
+    private final TableWatch watch = new TableWatch(
+            store, "t", Duration.ZERO, ticker, new SplittableRandom(1), new Told(), DecisionLog.none(), relay);
 
     /** A store whose next answers are laid out by the test; null stands for no answer. */
     private static final class FakeStore implements RowStore {
         final Deque<Optional<Rows>> reads = new ArrayDeque<>();
         final Deque<Optional<Rows>> changes = new ArrayDeque<>();
         boolean historyLost;
+        List<Row> last = List.of();
 
         @Override
         public Rows read(String table) throws PlatformUnavailableException {
@@ -48,7 +60,9 @@
                 historyLost = false;
                 throw new HistoryLostException(table, after);
             }
-            return next(changes);
+            Rows next = next(changes);
+            last = next.rows();
+            return next;
         }
 
         private static Rows next(Deque<Optional<Rows>> answers) throws PlatformUnavailableException {
@@ -96,8 +110,106 @@
 
     private void step(int times) {
         for (int i = 0; i < times; i++) {
-            watch.step();
+            try {
+                watch.step();
+            } catch (InterruptedException e) {
+                throw new AssertionError("nobody interrupts this thread", e);
+            }
+        }
+    }
+
+    /** Makes this entry instance one of 30 in its region; returns the names of those that read there. */
+    private List<String> joinLargeRegion(boolean asReader) {
+        List<String> names = new ArrayList<>(List.of("self"));
+        for (int i = 0; names.size() < 30; i++) {
+            boolean before =
+                    Rendezvous.order("store/r", List.of("self", "e" + i)).get(1).equals("self");
+            if (before != asReader) {
+                names.add("e" + i);
+            }
         }
+        relay.members(names.stream().map(FollowingTest::member).toList());
+        return Rendezvous.order("store/r", names).subList(0, 3);
+    }
+
+    private static Member member(String name) {
+        return new Member(name, "0", "r", "z", "", "", "", false, 1, "", "", List.of(), List.of());
+    }
+
+    private void tell(String reader, long after, long version, RowStore.Row... rows) {
+        relay.receive(reader, new PeerMessage.StoreChanges("t", after, List.of(rows), version, false));
+    }
+
+    @Test
+    void followerTakesWhatReadersTellAndAsksTheStoreNothing() {
+        List<String> readers = joinLargeRegion(false);
+        store.reads.add(rows(5, row("a", 1)));
+        step(1);
+        readers.forEach(relay::alive);
+        tell(readers.get(0), 5, 7, row("b", 7));
+        tell(readers.get(1), 4, 7, row("c", 5), row("b", 7));
+        tell(readers.get(0), 7, 9, gone("a", 9));
+        step(3);
+
+        assertThat(told).containsExactly("+a", "+b", "-a").inOrder();
+    }
+
+    @Test
+    void followerReadsWhatItMissed() {
+        List<String> readers = joinLargeRegion(false);
+        store.reads.add(rows(5, row("a", 1)));
+        store.changes.add(rows(9, row("b", 6), row("c", 9)));
+        step(1);
+        readers.forEach(relay::alive);
+        tell(readers.get(0), 8, 9, row("c", 9));
+        step(1);
+
+        assertThat(told).containsExactly("+a", "+b", "+c").inOrder();
+    }
+
+    @Test
+    void followerReadsForItselfOnceAReaderIsSilent() {
+        List<String> readers = joinLargeRegion(false);
+        readers.forEach(relay::alive);
+        tell(readers.get(0), 5, 5);
+        assertThat(relay.isTold("t")).isTrue();
+        ticker.advanceMs(1_600);
+        relay.alive(readers.get(0));
+        relay.alive(readers.get(1));
+
+        assertThat(relay.isTold("t")).isFalse();
+    }
+
+    @Test
+    void followerReadsForItselfWhenNoReaderHearsOfTheStore() {
+        List<String> readers = joinLargeRegion(false);
+        tell(readers.get(0), 5, 5);
+        ticker.advanceMs(6_000);
+        readers.forEach(relay::alive);
+
+        assertThat(relay.isTold("t")).isFalse();
+    }
+
+    @Test
+    void readerPassesOnWhatItReadsToAllThatDoNotRead() {
+        joinLargeRegion(true);
+        store.reads.add(rows(5, row("a", 1)));
+        store.changes.add(rows(9, row("b", 6)));
+        step(2);
+
+        assertThat(passed).hasSize(27);
+        assertThat(passed.values().iterator().next())
+                .containsExactly(new PeerMessage.StoreChanges("t", 5, store.last, 9, false));
+    }
+
+    @Test
+    void allReadInASmallRegionAndWhileNoPeerIsKnown() {
+        assertThat(relay.isTold("t")).isFalse();
+        relay.members(List.of(member("self"), member("b"), member("c"), member("d")));
+        relay.alive("b");
+        tell("b", 5, 5);
+
+        assertThat(relay.isTold("t")).isFalse();
     }
 
     @Test
--- a/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/PeerCodecTest.java
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/PeerCodecTest.java
@@ -4,6 +4,7 @@
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.List;
+import java.util.Optional;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.Size;
@@ -17,6 +18,7 @@
 import org.cowsliplatch.internal.peer.MalformedFrameException;
 import org.cowsliplatch.internal.peer.PeerCodec;
 import org.cowsliplatch.internal.peer.PeerMessage;
+import org.cowsliplatch.platform.RowStore;
 import org.cowsliplatch.table.Rank;
 import org.cowsliplatch.wire.Frame;
 import org.cowsliplatch.wire.SlotAsk;
@@ -42,13 +44,29 @@
                 new PeerMessage.TablesWanted(3),
                 new PeerMessage.TablesChanges(List.of("{}")),
                 new PeerMessage.TablesWhole(3, "{}"),
-                new PeerMessage.KeysTaken("d"));
+                new PeerMessage.KeysTaken("d"),
+                // Bytes have no equality of their own; rows with a value are compared below.
+                new PeerMessage.StoreChanges("t", 3, List.of(new RowStore.Row("k", 4, Optional.empty())), 5, true));
 
         for (PeerMessage message : messages) {
             assertThat(PeerCodec.message(PeerCodec.frame(message))).isEqualTo(message);
         }
     }
 
+    @Test
+    void rowsOfTheStoreAreCarriedAsTheyAre() throws Exception {
+        byte[] value = {0, -1, 7};
+        PeerMessage sent =
+                new PeerMessage.StoreChanges("t", 3, List.of(new RowStore.Row("k", 4, Optional.of(value))), 5, false);
+        PeerMessage received = PeerCodec.message(PeerCodec.frame(sent));
+
+        assertThat(received).isInstanceOf(PeerMessage.StoreChanges.class);
+        RowStore.Row row = ((PeerMessage.StoreChanges) received).rows().get(0);
+        assertThat(row.key()).isEqualTo("k");
+        assertThat(row.version()).isEqualTo(4);
+        assertThat(row.value().orElseThrow()).isEqualTo(value);
+    }
+
     @Test
     void handOverSurvivesTheWire() throws MalformedFrameException {
         Recorded answer = new Recorded.Answer(201, List.of("A", "b"), new byte[] {1, 2});
--- a/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/Frame.java
+++ b/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/Frame.java
@@ -75,6 +75,7 @@
     TABLES_WHOLE(15),
     KEYS_HAND_OVER(16),
     KEYS_TAKEN(17),
+    STORE_CHANGES(18),
     KIND_NOT_SET(0);
     private final int value;
     private KindCase(int value) {
@@ -109,6 +110,7 @@
         case 15: return TABLES_WHOLE;
         case 16: return KEYS_HAND_OVER;
         case 17: return KEYS_TAKEN;
+        case 18: return STORE_CHANGES;
         case 0: return KIND_NOT_SET;
         default: return null;
       }
@@ -651,6 +653,37 @@
     return org.cowsliplatch.wire.KeysTaken.getDefaultInstance();
   }
 
+  public static final int STORE_CHANGES_FIELD_NUMBER = 18;
+  /**
+   * <code>.cowsliplatch.peer.StoreChanges store_changes = 18;</code>
+   * @return Whether the storeChanges field is set.
+   */
+  @java.lang.Override
+  public boolean hasStoreChanges() {
+    return kindCase_ == 18;
+  }
+  /**
+   * <code>.cowsliplatch.peer.StoreChanges store_changes = 18;</code>
+   * @return The storeChanges.
+   */
+  @java.lang.Override
+  public org.cowsliplatch.wire.StoreChanges getStoreChanges() {
+    if (kindCase_ == 18) {
+       return (org.cowsliplatch.wire.StoreChanges) kind_;
+    }
+    return org.cowsliplatch.wire.StoreChanges.getDefaultInstance();
+  }
+  /**
+   * <code>.cowsliplatch.peer.StoreChanges store_changes = 18;</code>
+   */
+  @java.lang.Override
+  public org.cowsliplatch.wire.StoreChangesOrBuilder getStoreChangesOrBuilder() {
+    if (kindCase_ == 18) {
+       return (org.cowsliplatch.wire.StoreChanges) kind_;
+    }
+    return org.cowsliplatch.wire.StoreChanges.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -716,6 +749,9 @@
     if (kindCase_ == 17) {
       output.writeMessage(17, (org.cowsliplatch.wire.KeysTaken) kind_);
     }
+    if (kindCase_ == 18) {
+      output.writeMessage(18, (org.cowsliplatch.wire.StoreChanges) kind_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -788,6 +824,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(17, (org.cowsliplatch.wire.KeysTaken) kind_);
     }
+    if (kindCase_ == 18) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(18, (org.cowsliplatch.wire.StoreChanges) kind_);
+    }
     return size;
   }
   @java.lang.Override
@@ -882,6 +922,10 @@
         if (!getKeysTaken()
             .equals(other.getKeysTaken())) return false;
         break;
+      case 18:
+        if (!getStoreChanges()
+            .equals(other.getStoreChanges())) return false;
+        break;
       case 0:
       default:
     }
@@ -965,6 +1009,10 @@
         hash = (37 * hash) + KEYS_TAKEN_FIELD_NUMBER;
         hash = (53 * hash) + getKeysTaken().hashCode();
         break;
+      case 18:
+        hash = (37 * hash) + STORE_CHANGES_FIELD_NUMBER;
+        hash = (53 * hash) + getStoreChanges().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1154,6 +1202,9 @@
       if (keysTakenBuilder_ != null) {
         keysTakenBuilder_.clear();
       }
+      if (storeChangesBuilder_ != null) {
+        storeChangesBuilder_.clear();
+      }
       kindCase_ = 0;
       kind_ = null;
       return this;
@@ -1263,6 +1314,10 @@
           keysTakenBuilder_ != null) {
         result.kind_ = keysTakenBuilder_.build();
       }
+      if (kindCase_ == 18 &&
+          storeChangesBuilder_ != null) {
+        result.kind_ = storeChangesBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1346,6 +1401,10 @@
           mergeKeysTaken(other.getKeysTaken());
           break;
         }
+        case STORE_CHANGES: {
+          mergeStoreChanges(other.getStoreChanges());
+          break;
+        }
         case KIND_NOT_SET: {
           break;
         }
@@ -1493,6 +1552,13 @@
               kindCase_ = 17;
               break;
             } // case 138
+            case 146: {
+              input.readMessage(
+                  internalGetStoreChangesFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              kindCase_ = 18;
+              break;
+            } // case 146
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3905,6 +3971,146 @@
       return keysTakenBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cowsliplatch.wire.StoreChanges, org.cowsliplatch.wire.StoreChanges.Builder, org.cowsliplatch.wire.StoreChangesOrBuilder> storeChangesBuilder_;
+    /**
+     * <code>.cowsliplatch.peer.StoreChanges store_changes = 18;</code>
+     * @return Whether the storeChanges field is set.
+     */
+    @java.lang.Override
+    public boolean hasStoreChanges() {
+      return kindCase_ == 18;
+    }
+    /**
+     * <code>.cowsliplatch.peer.StoreChanges store_changes = 18;</code>
+     * @return The storeChanges.
+     */
+    @java.lang.Override
+    public org.cowsliplatch.wire.StoreChanges getStoreChanges() {
+      if (storeChangesBuilder_ == null) {
+        if (kindCase_ == 18) {
+          return (org.cowsliplatch.wire.StoreChanges) kind_;
+        }
+        return org.cowsliplatch.wire.StoreChanges.getDefaultInstance();
+      } else {
+        if (kindCase_ == 18) {
+          return storeChangesBuilder_.getMessage();
+        }
+        return org.cowsliplatch.wire.StoreChanges.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cowsliplatch.peer.StoreChanges store_changes = 18;</code>
+     */
+    public Builder setStoreChanges(org.cowsliplatch.wire.StoreChanges value) {
+      if (storeChangesBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        kind_ = value;
+        onChanged();
+      } else {
+        storeChangesBuilder_.setMessage(value);
+      }
+      kindCase_ = 18;
+      return this;
+    }
+    /**
+     * <code>.cowsliplatch.peer.StoreChanges store_changes = 18;</code>
+     */
+    public Builder setStoreChanges(
+        org.cowsliplatch.wire.StoreChanges.Builder builderForValue) {
+      if (storeChangesBuilder_ == null) {
+        kind_ = builderForValue.build();
+        onChanged();
+      } else {
+        storeChangesBuilder_.setMessage(builderForValue.build());
+      }
+      kindCase_ = 18;
+      return this;
+    }
+    /**
+     * <code>.cowsliplatch.peer.StoreChanges store_changes = 18;</code>
+     */
+    public Builder mergeStoreChanges(org.cowsliplatch.wire.StoreChanges value) {
+      if (storeChangesBuilder_ == null) {
+        if (kindCase_ == 18 &&
+            kind_ != org.cowsliplatch.wire.StoreChanges.getDefaultInstance()) {
+          kind_ = org.cowsliplatch.wire.StoreChanges.newBuilder((org.cowsliplatch.wire.StoreChanges) kind_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          kind_ = value;
+        }
+        onChanged();
+      } else {
+        if (kindCase_ == 18) {
+          storeChangesBuilder_.mergeFrom(value);
+        } else {
+          storeChangesBuilder_.setMessage(value);
+        }
+      }
+      kindCase_ = 18;
+      return this;
+    }
+    /**
+     * <code>.cowsliplatch.peer.StoreChanges store_changes = 18;</code>
+     */
+    public Builder clearStoreChanges() {
+      if (storeChangesBuilder_ == null) {
+        if (kindCase_ == 18) {
+          kindCase_ = 0;
+          kind_ = null;
+          onChanged();
+        }
+      } else {
+        if (kindCase_ == 18) {
+          kindCase_ = 0;
+          kind_ = null;
+        }
+        storeChangesBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.cowsliplatch.peer.StoreChanges store_changes = 18;</code>
+     */
+    public org.cowsliplatch.wire.StoreChanges.Builder getStoreChangesBuilder() {
+      return internalGetStoreChangesFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.cowsliplatch.peer.StoreChanges store_changes = 18;</code>
+     */
+    @java.lang.Override
+    public org.cowsliplatch.wire.StoreChangesOrBuilder getStoreChangesOrBuilder() {
+      if ((kindCase_ == 18) && (storeChangesBuilder_ != null)) {
+        return storeChangesBuilder_.getMessageOrBuilder();
+      } else {
+        if (kindCase_ == 18) {
+          return (org.cowsliplatch.wire.StoreChanges) kind_;
+        }
+        return org.cowsliplatch.wire.StoreChanges.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cowsliplatch.peer.StoreChanges store_changes = 18;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cowsliplatch.wire.StoreChanges, org.cowsliplatch.wire.StoreChanges.Builder, org.cowsliplatch.wire.StoreChangesOrBuilder> 
+        internalGetStoreChangesFieldBuilder() {
+      if (storeChangesBuilder_ == null) {
+        if (!(kindCase_ == 18)) {
+          kind_ = org.cowsliplatch.wire.StoreChanges.getDefaultInstance();
+        }
+        storeChangesBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.cowsliplatch.wire.StoreChanges, org.cowsliplatch.wire.StoreChanges.Builder, org.cowsliplatch.wire.StoreChangesOrBuilder>(
+                (org.cowsliplatch.wire.StoreChanges) kind_,
+                getParentForChildren(),
+                isClean());
+        kind_ = null;
+      }
+      kindCase_ = 18;
+      onChanged();
+      return storeChangesBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:cowsliplatch.peer.Frame)
   }
 
--- a/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/FrameOrBuilder.java
+++ b/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/FrameOrBuilder.java
@@ -265,5 +265,20 @@
    */
   org.cowsliplatch.wire.KeysTakenOrBuilder getKeysTakenOrBuilder();
 
+  /**
+   * <code>.cowsliplatch.peer.StoreChanges store_changes = 18;</code>
+   * @return Whether the storeChanges field is set.
+   */
+  boolean hasStoreChanges();
+  /**
+   * <code>.cowsliplatch.peer.StoreChanges store_changes = 18;</code>
+   * @return The storeChanges.
+   */
+  org.cowsliplatch.wire.StoreChanges getStoreChanges();
+  /**
+   * <code>.cowsliplatch.peer.StoreChanges store_changes = 18;</code>
+   */
+  org.cowsliplatch.wire.StoreChangesOrBuilder getStoreChangesOrBuilder();
+
   org.cowsliplatch.wire.Frame.KindCase getKindCase();
 }
--- a/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/Peer.java
+++ b/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/Peer.java
@@ -151,6 +151,16 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_cowsliplatch_peer_KeysTaken_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_cowsliplatch_peer_StoreRow_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_cowsliplatch_peer_StoreRow_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_cowsliplatch_peer_StoreChanges_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_cowsliplatch_peer_StoreChanges_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -160,7 +170,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\npeer.proto\022\021cowsliplatch.peer\"\257\007\n\005Fram" +
+      "\n\npeer.proto\022\021cowsliplatch.peer\"\351\007\n\005Fram" +
       "e\022)\n\005hello\030\001 \001(\0132\030.cowsliplatch.peer.Hel" +
       "loH\000\0221\n\theartbeat\030\002 \001(\0132\034.cowsliplatch.p" +
       "eer.HeartbeatH\000\0228\n\rheartbeat_ack\030\003 \001(\0132\037" +
@@ -184,57 +194,63 @@
       "peer.TablesWholeH\000\0229\n\016keys_hand_over\030\020 \001" +
       "(\0132\037.cowsliplatch.peer.KeysHandOverH\000\0222\n" +
       "\nkeys_taken\030\021 \001(\0132\034.cowsliplatch.peer.Ke" +
-      "ysTakenH\000B\006\n\004kind\"\025\n\005Hello\022\014\n\004name\030\001 \001(\t" +
-      "\"\216\002\n\006Member\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation" +
-      "\030\002 \001(\t\022\016\n\006region\030\003 \001(\t\022\014\n\004zone\030\004 \001(\t\022\026\n\016" +
-      "caller_address\030\005 \001(\t\022\024\n\014peer_address\030\006 \001" +
-      "(\t\022\025\n\radmin_address\030\007 \001(\t\022\017\n\007leaving\030\010 \001" +
-      "(\010\022\025\n\rtable_version\030\t \001(\003\022\024\n\014table_diges" +
-      "t\030\n \001(\t\022\022\n\nkey_prefix\030\013 \001(\t\022\027\n\017adopted_d" +
-      "omains\030\014 \003(\t\022\023\n\013known_peers\030\r \003(\t\"e\n\tHea" +
-      "rtbeat\022)\n\006member\030\001 \001(\0132\031.cowsliplatch.pe" +
-      "er.Member\022-\n\005loads\030\002 \003(\0132\036.cowsliplatch." +
-      "peer.GroupReport\"%\n\014HeartbeatAck\022\025\n\rmemb" +
-      "er_wanted\030\001 \001(\010\"%\n\005Group\022\014\n\004pool\030\001 \001(\t\022\016" +
-      "\n\006region\030\002 \001(\t\"y\n\013GroupReport\022\'\n\005group\030\001" +
-      " \001(\0132\030.cowsliplatch.peer.Group\022\r\n\005slots\030" +
-      "\002 \001(\005\022\014\n\004free\030\003 \001(\005\022\023\n\013outstanding\030\004 \001(\005" +
-      "\022\017\n\007waiting\030\005 \001(\005\"\272\001\n\007SlotAsk\022\'\n\005group\030\001" +
-      " \001(\0132\030.cowsliplatch.peer.Group\022\016\n\006ask_id" +
-      "\030\002 \001(\006\022\014\n\004rank\030\003 \001(\005\022\014\n\004zone\030\004 \001(\t\022\024\n\014wa" +
-      "ited_nanos\030\005 \001(\003\022\022\n\nleft_nanos\030\006 \001(\003\022\r\n\005" +
-      "avoid\030\007 \003(\t\022\021\n\tdue_nanos\030\010 \001(\003\022\016\n\006object" +
-      "\030\t \001(\t\"\034\n\nSlotQueued\022\016\n\006ask_id\030\001 \001(\006\"\036\n\014" +
-      "SlotDeclined\022\016\n\006ask_id\030\001 \001(\006\"E\n\010Endpoint" +
-      "\022\n\n\002id\030\001 \001(\t\022\017\n\007address\030\002 \001(\t\022\016\n\006region\030" +
-      "\003 \001(\t\022\014\n\004zone\030\004 \001(\t\"u\n\013SlotGranted\022\'\n\005gr" +
-      "oup\030\001 \001(\0132\030.cowsliplatch.peer.Group\022\016\n\006a" +
-      "sk_id\030\002 \001(\006\022-\n\010endpoint\030\003 \001(\0132\033.cowslipl" +
-      "atch.peer.Endpoint\"*\n\013SlotRefused\022\016\n\006ask" +
-      "_id\030\001 \001(\006\022\013\n\003why\030\002 \001(\005\"E\n\nSlotCancel\022\'\n\005" +
-      "group\030\001 \001(\0132\030.cowsliplatch.peer.Group\022\016\n" +
-      "\006ask_id\030\002 \001(\006\"W\n\013SlotRelease\022\'\n\005group\030\001 " +
-      "\001(\0132\030.cowsliplatch.peer.Group\022\016\n\006ask_id\030" +
-      "\002 \001(\006\022\017\n\007outcome\030\003 \001(\005\"8\n\rHoldingsQuery\022" +
-      "\'\n\005group\030\001 \001(\0132\030.cowsliplatch.peer.Group" +
-      "\"<\n\007Holding\022\016\n\006ask_id\030\001 \001(\006\022\023\n\013endpoint_" +
-      "id\030\002 \001(\t\022\014\n\004rank\030\003 \001(\005\"a\n\010Holdings\022\'\n\005gr" +
-      "oup\030\001 \001(\0132\030.cowsliplatch.peer.Group\022,\n\010h" +
-      "oldings\030\002 \003(\0132\032.cowsliplatch.peer.Holdin" +
-      "g\"\035\n\014TablesWanted\022\r\n\005after\030\001 \001(\003\" \n\rTabl" +
-      "esChanges\022\017\n\007changes\030\001 \003(\t\"0\n\013TablesWhol" +
-      "e\022\017\n\007version\030\001 \001(\003\022\020\n\010document\030\002 \001(\t\"\234\001\n" +
-      "\tKeyRecord\022\013\n\003key\030\001 \001(\t\022\023\n\013fingerprint\030\002" +
-      " \001(\t\022\016\n\006minute\030\003 \001(\003\022+\n\006answer\030\004 \001(\0132\031.c" +
-      "owsliplatch.peer.AnswerH\000\022\021\n\007not_run\030\005 \001" +
-      "(\tH\000\022\021\n\007unknown\030\006 \001(\tH\000B\n\n\010recorded\"7\n\006A" +
-      "nswer\022\016\n\006status\030\001 \001(\005\022\017\n\007headers\030\002 \003(\t\022\014" +
-      "\n\004body\030\003 \001(\014\"~\n\014KeysHandOver\022\016\n\006domain\030\001" +
-      " \001(\t\022\016\n\006secret\030\002 \001(\014\022\021\n\tage_nanos\030\003 \001(\003\022" +
-      "-\n\007records\030\004 \003(\0132\034.cowsliplatch.peer.Key" +
-      "Record\022\014\n\004last\030\005 \001(\010\"\033\n\tKeysTaken\022\016\n\006dom" +
-      "ain\030\001 \001(\tB\033\n\025org.cowsliplatch.wireH\001P\001b\006" +
-      "proto3"
+      "ysTakenH\000\0228\n\rstore_changes\030\022 \001(\0132\037.cowsl" +
+      "iplatch.peer.StoreChangesH\000B\006\n\004kind\"\025\n\005H" +
+      "ello\022\014\n\004name\030\001 \001(\t\"\216\002\n\006Member\022\014\n\004name\030\001 " +
+      "\001(\t\022\023\n\013incarnation\030\002 \001(\t\022\016\n\006region\030\003 \001(\t" +
+      "\022\014\n\004zone\030\004 \001(\t\022\026\n\016caller_address\030\005 \001(\t\022\024" +
+      "\n\014peer_address\030\006 \001(\t\022\025\n\radmin_address\030\007 " +
+      "\001(\t\022\017\n\007leaving\030\010 \001(\010\022\025\n\rtable_version\030\t " +
+      "\001(\003\022\024\n\014table_digest\030\n \001(\t\022\022\n\nkey_prefix\030" +
+      "\013 \001(\t\022\027\n\017adopted_domains\030\014 \003(\t\022\023\n\013known_" +
+      "peers\030\r \003(\t\"e\n\tHeartbeat\022)\n\006member\030\001 \001(\013" +
+      "2\031.cowsliplatch.peer.Member\022-\n\005loads\030\002 \003" +
+      "(\0132\036.cowsliplatch.peer.GroupReport\"%\n\014He" +
+      "artbeatAck\022\025\n\rmember_wanted\030\001 \001(\010\"%\n\005Gro" +
+      "up\022\014\n\004pool\030\001 \001(\t\022\016\n\006region\030\002 \001(\t\"y\n\013Grou" +
+      "pReport\022\'\n\005group\030\001 \001(\0132\030.cowsliplatch.pe" +
+      "er.Group\022\r\n\005slots\030\002 \001(\005\022\014\n\004free\030\003 \001(\005\022\023\n" +
+      "\013outstanding\030\004 \001(\005\022\017\n\007waiting\030\005 \001(\005\"\272\001\n\007" +
+      "SlotAsk\022\'\n\005group\030\001 \001(\0132\030.cowsliplatch.pe" +
+      "er.Group\022\016\n\006ask_id\030\002 \001(\006\022\014\n\004rank\030\003 \001(\005\022\014" +
+      "\n\004zone\030\004 \001(\t\022\024\n\014waited_nanos\030\005 \001(\003\022\022\n\nle" +
+      "ft_nanos\030\006 \001(\003\022\r\n\005avoid\030\007 \003(\t\022\021\n\tdue_nan" +
+      "os\030\010 \001(\003\022\016\n\006object\030\t \001(\t\"\034\n\nSlotQueued\022\016" +
+      "\n\006ask_id\030\001 \001(\006\"\036\n\014SlotDeclined\022\016\n\006ask_id" +
+      "\030\001 \001(\006\"E\n\010Endpoint\022\n\n\002id\030\001 \001(\t\022\017\n\007addres" +
+      "s\030\002 \001(\t\022\016\n\006region\030\003 \001(\t\022\014\n\004zone\030\004 \001(\t\"u\n" +
+      "\013SlotGranted\022\'\n\005group\030\001 \001(\0132\030.cowsliplat" +
+      "ch.peer.Group\022\016\n\006ask_id\030\002 \001(\006\022-\n\010endpoin" +
+      "t\030\003 \001(\0132\033.cowsliplatch.peer.Endpoint\"*\n\013" +
+      "SlotRefused\022\016\n\006ask_id\030\001 \001(\006\022\013\n\003why\030\002 \001(\005" +
+      "\"E\n\nSlotCancel\022\'\n\005group\030\001 \001(\0132\030.cowslipl" +
+      "atch.peer.Group\022\016\n\006ask_id\030\002 \001(\006\"W\n\013SlotR" +
+      "elease\022\'\n\005group\030\001 \001(\0132\030.cowsliplatch.pee" +
+      "r.Group\022\016\n\006ask_id\030\002 \001(\006\022\017\n\007outcome\030\003 \001(\005" +
+      "\"8\n\rHoldingsQuery\022\'\n\005group\030\001 \001(\0132\030.cowsl" +
+      "iplatch.peer.Group\"<\n\007Holding\022\016\n\006ask_id\030" +
+      "\001 \001(\006\022\023\n\013endpoint_id\030\002 \001(\t\022\014\n\004rank\030\003 \001(\005" +
+      "\"a\n\010Holdings\022\'\n\005group\030\001 \001(\0132\030.cowsliplat" +
+      "ch.peer.Group\022,\n\010holdings\030\002 \003(\0132\032.cowsli" +
+      "platch.peer.Holding\"\035\n\014TablesWanted\022\r\n\005a" +
+      "fter\030\001 \001(\003\" \n\rTablesChanges\022\017\n\007changes\030\001" +
+      " \003(\t\"0\n\013TablesWhole\022\017\n\007version\030\001 \001(\003\022\020\n\010" +
+      "document\030\002 \001(\t\"\234\001\n\tKeyRecord\022\013\n\003key\030\001 \001(" +
+      "\t\022\023\n\013fingerprint\030\002 \001(\t\022\016\n\006minute\030\003 \001(\003\022+" +
+      "\n\006answer\030\004 \001(\0132\031.cowsliplatch.peer.Answe" +
+      "rH\000\022\021\n\007not_run\030\005 \001(\tH\000\022\021\n\007unknown\030\006 \001(\tH" +
+      "\000B\n\n\010recorded\"7\n\006Answer\022\016\n\006status\030\001 \001(\005\022" +
+      "\017\n\007headers\030\002 \003(\t\022\014\n\004body\030\003 \001(\014\"~\n\014KeysHa" +
+      "ndOver\022\016\n\006domain\030\001 \001(\t\022\016\n\006secret\030\002 \001(\014\022\021" +
+      "\n\tage_nanos\030\003 \001(\003\022-\n\007records\030\004 \003(\0132\034.cow" +
+      "sliplatch.peer.KeyRecord\022\014\n\004last\030\005 \001(\010\"\033" +
+      "\n\tKeysTaken\022\016\n\006domain\030\001 \001(\t\"H\n\010StoreRow\022" +
+      "\013\n\003key\030\001 \001(\t\022\017\n\007version\030\002 \001(\003\022\r\n\005value\030\003" +
+      " \001(\014\022\017\n\007removed\030\004 \001(\010\"\200\001\n\014StoreChanges\022\r" +
+      "\n\005table\030\001 \001(\t\022\r\n\005after\030\002 \001(\003\022\017\n\007version\030" +
+      "\003 \001(\003\022)\n\004rows\030\004 \003(\0132\033.cowsliplatch.peer." +
+      "StoreRow\022\026\n\016store_returned\030\005 \001(\010B\033\n\025org." +
+      "cowsliplatch.wireH\001P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -245,7 +261,7 @@
     internal_static_cowsliplatch_peer_Frame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cowsliplatch_peer_Frame_descriptor,
-        new java.lang.String[] { "Hello", "Heartbeat", "HeartbeatAck", "SlotAsk", "SlotQueued", "SlotDeclined", "SlotGranted", "SlotRefused", "SlotCancel", "SlotRelease", "HoldingsQuery", "Holdings", "TablesWanted", "TablesChanges", "TablesWhole", "KeysHandOver", "KeysTaken", "Kind", });
+        new java.lang.String[] { "Hello", "Heartbeat", "HeartbeatAck", "SlotAsk", "SlotQueued", "SlotDeclined", "SlotGranted", "SlotRefused", "SlotCancel", "SlotRelease", "HoldingsQuery", "Holdings", "TablesWanted", "TablesChanges", "TablesWhole", "KeysHandOver", "KeysTaken", "StoreChanges", "Kind", });
     internal_static_cowsliplatch_peer_Hello_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_cowsliplatch_peer_Hello_fieldAccessorTable = new
@@ -390,6 +406,18 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cowsliplatch_peer_KeysTaken_descriptor,
         new java.lang.String[] { "Domain", });
+    internal_static_cowsliplatch_peer_StoreRow_descriptor =
+      getDescriptor().getMessageType(25);
+    internal_static_cowsliplatch_peer_StoreRow_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_cowsliplatch_peer_StoreRow_descriptor,
+        new java.lang.String[] { "Key", "Version", "Value", "Removed", });
+    internal_static_cowsliplatch_peer_StoreChanges_descriptor =
+      getDescriptor().getMessageType(26);
+    internal_static_cowsliplatch_peer_StoreChanges_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_cowsliplatch_peer_StoreChanges_descriptor,
+        new java.lang.String[] { "Table", "After", "Version", "Rows", "StoreReturned", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/DeployedEntry.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/DeployedEntry.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import org.cowsliplatch.errors.EntryStartException;
+import org.cowsliplatch.internal.follow.ChangeRelay;
 import org.cowsliplatch.internal.limit.RetryBudgets;
 import org.cowsliplatch.internal.limit.ReturningCallers;
 import org.cowsliplatch.internal.limit.SlotBroker;
@@ -35,6 +36,7 @@
 import org.cowsliplatch.internal.steer.EntryDirectory;
 import org.cowsliplatch.internal.steer.Headroom;
 import org.cowsliplatch.internal.steer.RegionChooser;
+import org.cowsliplatch.internal.steer.SteeringView;
 import org.cowsliplatch.internal.steer.ViewKeeper;
 import org.cowsliplatch.internal.table.TableLog;
 import org.cowsliplatch.internal.table.TableSync;
@@ -80,6 +82,7 @@
     private final TableSync tableSync;
     private final Headroom headroom;
     private final PeerDuties duties;
+    private final ChangeRelay relay;
     private final StoreFollower store;
     private final CallerWatch callers = new CallerWatch();
     private final BackendClient client = new BackendClient(BackendClient.Reuse.SINGLE_USE);
@@ -103,7 +106,8 @@
         this.membership = new Membership(settings.instance(), ticker);
         this.transport = new PeerTransport(this::self, ticker, this);
         this.broker = new SlotBroker(settings.instance(), settings.zone(), ticker, random.split(), transport);
-        this.views = new ViewKeeper(broker::view);
+        this.relay = new ChangeRelay(settings.instance(), settings.region(), ticker, transport);
+        this.views = new ViewKeeper(this::onView);
         this.log = new TableLog(this::onTables);
         this.store = new StoreFollower(
                 settings,
@@ -114,6 +118,7 @@
                 log,
                 views,
                 decisions,
+                relay,
                 Addresses.text(settings.listen().peer()));
         this.tableSync = new TableSync(log, transport, store.documents(), () -> metrics.alarm("table-regression"));
         this.headroom = new Headroom(ticker, Headroom.BOLD);
@@ -235,7 +240,9 @@
                 version.number() == 0 ? "" : version.digest(),
                 "",
                 List.of(),
-                membership.peers().stream().map(Member::peerAddress).toList());
+                // The store lists all peers. Naming them here would make each description long, and change it whenever
+                // any instance comes or goes.
+                List.of());
     }
 
     private void onTables(TableVersion version, long acceptedAtMs) {
@@ -284,13 +291,23 @@
         }
     }
 
+    private void onView(SteeringView view) {
+        relay.members(view.members());
+        broker.view(view);
+    }
+
     @Override
     public boolean alive(String from, List<PeerMessage.GroupReport> loads) {
+        relay.alive(from);
         return duties.alive(from, loads);
     }
 
     @Override
     public void received(String from, PeerMessage message) {
+        if (message instanceof PeerMessage.StoreChanges changes) {
+            relay.receive(from, changes);
+            return;
+        }
         duties.received(from, message);
     }
 
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/StoreFollower.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/StoreFollower.java
@@ -14,6 +14,7 @@
 import org.cowsliplatch.errors.TableRegressionException;
 import org.cowsliplatch.errors.TablesUnavailableException;
 import org.cowsliplatch.errors.WriteOutcomeUnknownException;
+import org.cowsliplatch.internal.follow.ChangeRelay;
 import org.cowsliplatch.internal.follow.TableWatch;
 import org.cowsliplatch.internal.steer.EndpointBook;
 import org.cowsliplatch.internal.steer.EndpointDirectory;
@@ -73,6 +74,7 @@
             TableLog log,
             ViewKeeper views,
             DecisionLog decisions,
+            ChangeRelay relay,
             String ownAddress) {
         this.settings = settings;
         this.store = store;
@@ -83,9 +85,9 @@
         this.ownAddress = ownAddress;
         this.book = new EndpointBook(settings.regionOfZone(), ticker, decisions);
         this.operators = new TableWatch(
-                store, format.operatorTable(), WAIT, ticker, random.split(), new OperatorRows(), decisions);
+                store, format.operatorTable(), WAIT, ticker, random.split(), new OperatorRows(), decisions, relay);
         this.endpoints = new TableWatch(
-                store, format.endpointTable(), WAIT, ticker, random.split(), new EndpointRows(), decisions);
+                store, format.endpointTable(), WAIT, ticker, random.split(), new EndpointRows(), decisions, relay);
     }
 
     void start() {
@@ -151,7 +153,7 @@
 
     private interface Step {
         /** Does one round; returns the time in ms to wait before the next. */
-        long run();
+        long run() throws InterruptedException;
     }
 
     private void run(String name, Step step) {
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/follow/TableWatch.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/follow/TableWatch.java
@@ -2,10 +2,13 @@
 
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.cowsliplatch.errors.HistoryLostException;
 import org.cowsliplatch.errors.PlatformUnavailableException;
+import org.cowsliplatch.internal.peer.PeerMessage;
 import org.cowsliplatch.internal.telemetry.DecisionLog;
 import org.cowsliplatch.internal.util.PollDelay;
 import org.cowsliplatch.internal.util.Ticker;
@@ -35,6 +38,8 @@
 
     /** Time in ms over which changes are gathered into one read; calls of the store are dear. */
     private static final long GATHER_MS = 150;
+    /** Longest wait in ms for word of a peer before it is looked anew whether this entry instance should read. */
+    private static final long TOLD_MS = 250;
     /** First wait in ms after a read that failed. */
     private static final long FIRST_RETRY_MS = 100;
     /** Longest wait in ms after reads that failed, so that the store's return is noticed within a second or so. */
@@ -48,10 +53,14 @@
     private final Ticker ticker;
     private final Listener listener;
     private final DecisionLog decisions;
+    private final ChangeRelay relay;
     private final PollDelay delay;
     private final Set<String> known = new HashSet<>();
     private long version = -1;
     private boolean mustRead = true;
+    /** Whether peers tell of changes, so that the store is not read here. */
+    private boolean told;
+
     private boolean away;
     private long returnedNanos = Long.MIN_VALUE;
 
@@ -65,6 +74,7 @@
      * @param random source of jitter
      * @param listener told of rows
      * @param decisions told when the store is lost and regained
+     * @param relay tells of changes that other entry instances read, and passes on those read here
      */
     public TableWatch(
             RowStore store,
@@ -73,18 +83,44 @@
             Ticker ticker,
             RandomGenerator random,
             Listener listener,
-            DecisionLog decisions) {
+            DecisionLog decisions,
+            ChangeRelay relay) {
         this.store = store;
         this.table = table;
         this.wait = wait;
         this.ticker = ticker;
         this.listener = listener;
         this.decisions = decisions;
+        this.relay = relay;
         this.delay = new PollDelay(FIRST_RETRY_MS, LONGEST_RETRY_MS, random);
     }
 
-    /** Reads once; returns the time in ms to wait before the next read. */
-    public long step() {
+    /**
+     * Reads once, or takes what another entry instance read; returns the time in ms to wait before the next step.
+     *
+     * @throws InterruptedException if the thread is to end
+     */
+    public long step() throws InterruptedException {
+        boolean nowTold = !mustRead && relay.isTold(table);
+        if (nowTold != told) {
+            told = nowTold;
+            decisions
+                    .line("store-followed")
+                    .with("table", table)
+                    .with("through", told ? "peers" : "store")
+                    .with("version", version)
+                    .write(DecisionLog.Weight.NOTABLE);
+        }
+        if (nowTold) {
+            Optional<PeerMessage.StoreChanges> changes = relay.next(table, TOLD_MS);
+            if (changes.isEmpty() || take(changes.get())) {
+                return 0;
+            }
+        }
+        return read();
+    }
+
+    private long read() {
         try {
             boolean changed = mustRead ? readWhole() : readChanges();
             delay.answered();
@@ -103,11 +139,27 @@
         }
     }
 
+    /** Takes over what a peer read; returns false if changes before it were missed. */
+    private boolean take(PeerMessage.StoreChanges changes) {
+        if (changes.after() > version) {
+            return false;
+        }
+        answered();
+        List<RowStore.Row> news =
+                changes.rows().stream().filter(row -> row.version() > version).toList();
+        if (changes.version() > version) {
+            apply(new RowStore.Rows(news, changes.version()), changes.storeReturned());
+        }
+        return true;
+    }
+
     /** Reads what changed; returns whether anything did. */
     private boolean readChanges() throws HistoryLostException, PlatformUnavailableException {
-        RowStore.Rows changes = store.follow(table, version, wait);
+        long after = version;
+        RowStore.Rows changes = store.follow(table, after, relay.isTold(table) ? Duration.ZERO : wait);
         answered();
-        apply(changes);
+        apply(changes, hasReturned());
+        relay.pass(new PeerMessage.StoreChanges(table, after, changes.rows(), version, hasReturned()));
         return !changes.rows().isEmpty();
     }
 
@@ -135,14 +187,14 @@
         return false;
     }
 
-    private void apply(RowStore.Rows changes) {
+    private void apply(RowStore.Rows changes, boolean storeReturned) {
         for (RowStore.Row row : changes.rows()) {
             if (row.value().isPresent()) {
                 known.add(row.key());
                 listener.put(row);
             } else {
                 known.remove(row.key());
-                listener.removed(row.key(), hasReturned());
+                listener.removed(row.key(), storeReturned);
             }
         }
         version = Math.max(version, changes.version());
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/peer/PeerCodec.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/peer/PeerCodec.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.ByteString;
 import java.util.List;
+import java.util.Optional;
 import org.cowsliplatch.internal.limit.Ask;
 import org.cowsliplatch.internal.limit.Endpoint;
 import org.cowsliplatch.internal.limit.GroupId;
@@ -11,6 +12,7 @@
 import org.cowsliplatch.internal.member.Member;
 import org.cowsliplatch.internal.once.KeyLedger;
 import org.cowsliplatch.internal.once.Recorded;
+import org.cowsliplatch.platform.RowStore;
 import org.cowsliplatch.table.Rank;
 import org.cowsliplatch.wire.Answer;
 import org.cowsliplatch.wire.Frame;
@@ -86,9 +88,40 @@
             frame.setKeysHandOver(handOver(m));
         } else if (message instanceof PeerMessage.KeysTaken m) {
             frame.setKeysTaken(org.cowsliplatch.wire.KeysTaken.newBuilder().setDomain(m.domain()));
+        } else if (message instanceof PeerMessage.StoreChanges m) {
+            frame.setStoreChanges(storeChanges(m));
         }
     }
 
+    private static org.cowsliplatch.wire.StoreChanges.Builder storeChanges(PeerMessage.StoreChanges message) {
+        org.cowsliplatch.wire.StoreChanges.Builder changes = org.cowsliplatch.wire.StoreChanges.newBuilder()
+                .setTable(message.table())
+                .setAfter(message.after())
+                .setVersion(message.version())
+                .setStoreReturned(message.storeReturned());
+        for (RowStore.Row row : message.rows()) {
+            changes.addRows(org.cowsliplatch.wire.StoreRow.newBuilder()
+                    .setKey(row.key())
+                    .setVersion(row.version())
+                    .setRemoved(row.value().isEmpty())
+                    .setValue(ByteString.copyFrom(row.value().orElse(new byte[0]))));
+        }
+        return changes;
+    }
+
+    private static PeerMessage storeChanges(org.cowsliplatch.wire.StoreChanges changes) {
+        List<RowStore.Row> rows = changes.getRowsList().stream()
+                .map(row -> new RowStore.Row(
+                        row.getKey(),
+                        row.getVersion(),
+                        row.getRemoved()
+                                ? Optional.<byte[]>empty()
+                                : Optional.of(row.getValue().toByteArray())))
+                .toList();
+        return new PeerMessage.StoreChanges(
+                changes.getTable(), changes.getAfter(), rows, changes.getVersion(), changes.getStoreReturned());
+    }
+
     /**
      * Returns the message in a frame.
      *
@@ -140,6 +173,7 @@
                         frame.getTablesWhole().getDocument());
             case KEYS_HAND_OVER -> handOver(frame.getKeysHandOver());
             case KEYS_TAKEN -> new PeerMessage.KeysTaken(frame.getKeysTaken().getDomain());
+            case STORE_CHANGES -> storeChanges(frame.getStoreChanges());
             default -> throw new MalformedFrameException("unexpected frame " + frame.getKindCase(), null);
         };
     }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/peer/PeerMessage.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/peer/PeerMessage.java
@@ -9,6 +9,7 @@
 import org.cowsliplatch.internal.limit.SlotOutcome;
 import org.cowsliplatch.internal.member.Member;
 import org.cowsliplatch.internal.once.KeyLedger;
+import org.cowsliplatch.platform.RowStore;
 import org.cowsliplatch.table.Rank;
 
 /** A message from one entry instance to another; each may be lost, and none is sent again by the transport. */
@@ -152,4 +153,21 @@
      * @param domain domain of the keys
      */
     record KeysTaken(String domain) implements PeerMessage {}
+
+    /**
+     * Changes of a table of the platform's store.
+     *
+     * @param table name of the table
+     * @param after version after which all changes are told
+     * @param rows changes, oldest first
+     * @param version version up to which they are told
+     * @param storeReturned whether the store was away shortly before, so that rows that were removed may come back
+     */
+    record StoreChanges(String table, long after, List<RowStore.Row> rows, long version, boolean storeReturned)
+            implements PeerMessage {
+        /** Copies the rows. */
+        public StoreChanges {
+            rows = List.copyOf(rows);
+        }
+    }
 }
