Run a late request only where it can still end

The check that a run can end was passed over for what arrives at a grantor just now.

Change: the check holds for every request that is late; one that waited in vain is not tried in another region; it waits 0.2 s at most, and a fifth of the slots stays free for those in time.

--- a/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/SlotGrantorTest.java
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/SlotGrantorTest.java
@@ -256,4 +256,44 @@
     void emptyPoolIsToldAtOnce() {
         assertThat(((SlotEvent.Refused) ask(Rank.URGENT).get(0)).why()).isEqualTo(Refusal.NO_ENDPOINT);
     }
+
+    /** Asks about an object, with moments from now on; a due time below 0 is past. */
+    private List<SlotEvent> askAbout(String object, long dueMs, long deadlineMs) {
+        long now = ticker.nanos();
+        Ask.Want want =
+                new Ask.Want(Rank.URGENT, now + dueMs * 1_000_000, now + deadlineMs * 1_000_000, List.of(), object);
+        return grantor.ask(new Ask("holder", nextId++, "a", now, want));
+    }
+
+    /** Lets enough runs about new objects end for their mean time to be known. */
+    private void learnThatColdRunsTake(long ms) {
+        for (int i = 0; i < 10; i++) {
+            SlotEvent.Granted grant =
+                    granted(askAbout("cold" + i, 5_000, 6_000)).get(0);
+            ticker.advanceMs(ms);
+            release(grant, SlotOutcome.ANSWERED);
+        }
+    }
+
+    @Test
+    void lateRequestIsNotRunWhereItCanNotEnd() {
+        grantor.endpoints(endpoints(2));
+        learnThatColdRunsTake(600);
+
+        assertThat(granted(askAbout("new", -100, 500))).isEmpty();
+        assertThat(granted(askAbout("new", -100, 2_000))).hasSize(1);
+    }
+
+    @Test
+    void lateRequestIsRefusedSoonIfNoSlotIsLeftOver() {
+        grantor.endpoints(endpoints(1));
+        learnThatColdRunsTake(600);
+        for (int i = 0; i < SLOTS; i++) {
+            assertThat(granted(askAbout("busy" + i, 5_000, 6_000))).hasSize(1);
+        }
+        assertThat(askAbout("late", -100, 2_000)).isEmpty();
+        ticker.advanceMs(250);
+
+        assertThat(grantor.tick().get(0)).isInstanceOf(SlotEvent.Refused.class);
+    }
 }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotGrantor.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotGrantor.java
@@ -39,9 +39,9 @@
     /** Share of the slots that must be free for a request to run that can no longer be in time. */
     private static final double IDLE_SHARE = 0.3;
     /** Longest wait in ns of a request that is late already for a slot that no other wants. */
-    private static final long MOST_OVERDUE_WAIT_NANOS = 400_000_000L;
+    private static final long MOST_OVERDUE_WAIT_NANOS = 200_000_000L;
     /** Share of the slots that must be free for such a request, so that those in time still find one. */
-    private static final double OVERDUE_RESERVE = 0.1;
+    private static final double OVERDUE_RESERVE = 0.2;
     /** Asks of one rank that are looked at for a slot that suits them. */
     private static final int MOST_LOOKED_AT = 64;
     /** Mean number of urgent requests below which no slot is kept free for them. */
@@ -408,7 +408,8 @@
         }
         boolean warm = endpoint.recent().contains(ask.want().object());
         double run = warm ? warmTime.mean() : coldTime.mean();
-        return now == ask.sinceNanos() || now + run * COLD_MARGIN <= ask.deadlineNanos();
+        boolean isNew = now == ask.sinceNanos() && !isOverdue(ask, now);
+        return isNew || now + run * COLD_MARGIN <= ask.deadlineNanos();
     }
 
     /** Returns whether a late answer takes nothing from those in time. */
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Exchange.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Exchange.java
@@ -212,17 +212,23 @@
     }
 
     private Ask.Want want() {
-        long due = startNanos
+        long due = Math.min(dueNanos(), deadlineNanos);
+        return new Ask.Want(route.rank(), due, deadlineNanos, List.copyOf(failedEndpoints), object);
+    }
+
+    /** Returns until when an answer has its full worth for the caller. */
+    private long dueNanos() {
+        return startNanos
                 - sinceFirst.toNanos()
                 + route.options().target().toNanos()
                 - context.policy().callerDelay().toNanos();
-        return new Ask.Want(
-                route.rank(), Math.min(due, deadlineNanos), deadlineNanos, List.copyOf(failedEndpoints), object);
     }
 
     /** Goes on in another region where one has headroom known to be fresh, once; returns whether it does. */
     private boolean spill(String full, Refusal why) {
-        if (spilled || why == Refusal.CANCELLED || leftMs() <= 0) {
+        // One that is late already has waited long enough for a slot that nobody else wants.
+        boolean late = context.ticker().nanos() > dueNanos();
+        if (spilled || why == Refusal.CANCELLED || leftMs() <= 0 || (late && why == Refusal.TOO_LATE)) {
             return false;
         }
         spilled = true;
