Forget what an ask got before when its holder makes it once more

Holders move an ask when the grantor changes; when the message that takes it back is lost, the ask stands twice in the queue under one key, the removal finds only the newer, and the loop that refuses what is too late never ends. A grant that was lost leaked its slot in the same way. Ruled out: request bodies, buffers of connections, the log's queue.

Change: an ask that is made once more takes back its earlier place or slot first.

Result: two tests of the grantor; the first ran for ever before, the second leaked a slot.

--- a/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/SlotGrantorTest.java
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/SlotGrantorTest.java
@@ -18,6 +18,7 @@
 import org.cowsliplatch.internal.limit.SlotOutcome;
 import org.cowsliplatch.table.Pool;
 import org.cowsliplatch.table.Rank;
+import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.Test;
 
 /** Decisions of a grantor on an injected clock. */
@@ -296,4 +297,32 @@
 
         assertThat(grantor.tick().get(0)).isInstanceOf(SlotEvent.Refused.class);
     }
+
+    @Test
+    void askMadeOnceMoreWaitsOnce() {
+        grantor.endpoints(endpoints(1));
+        for (int i = 0; i < SLOTS; i++) {
+            one(Rank.URGENT);
+        }
+        ask(Rank.URGENT);
+        nextId--;
+        ask(Rank.URGENT);
+        assertThat(grantor.load().waiting()).isEqualTo(1);
+        ticker.advanceMs(5_000);
+
+        List<SlotEvent> events = Assertions.assertTimeoutPreemptively(
+                Duration.ofSeconds(2), grantor::tick, "the ask is refused again and again");
+        assertThat(events).hasSize(1);
+        assertThat(grantor.load().waiting()).isEqualTo(0);
+    }
+
+    @Test
+    void askMadeOnceMoreGivesBackTheSlotThatItsHolderNeverHeardOf() {
+        grantor.endpoints(endpoints(1));
+        one(Rank.URGENT);
+        nextId--;
+        one(Rank.URGENT);
+
+        assertThat(grantor.load().free()).isEqualTo(SLOTS - 1);
+    }
 }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotGrantor.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotGrantor.java
@@ -113,6 +113,7 @@
     public synchronized List<SlotEvent> ask(Ask ask) {
         long now = ticker.nanos();
         List<SlotEvent> events = new ArrayList<>(1);
+        forgetEarlier(ask, now);
         if (isOverdue(ask, now)) {
             askOverdue(ask, now, events);
             return events;
@@ -130,6 +131,18 @@
         return events;
     }
 
+    /**
+     * Forgets what an ask that is made once more got before. Its holder would not repeat it if it knew of that: the
+     * message that took it back, or the one that granted it, was lost.
+     */
+    private void forgetEarlier(Ask ask, long now) {
+        cancel(ask.holder(), ask.id());
+        Outstanding unknown = grants.remove(new Key(ask.holder(), ask.id()));
+        if (unknown != null) {
+            free(unknown.endpoint(), unknown.rank(), now);
+        }
+    }
+
     /** Returns whether an answer would be late even if a slot came free now. */
     private boolean isOverdue(Ask ask, long now) {
         return ask.want().dueNanos() < ask.deadlineNanos() && now > latestStart(ask);
