Add the command that explains one request from the logs

Cause: on-call engineers put a request's way together by hand with grep and jq over the logs of all instances.

Change: `cowsliplatch explain ID LOG…` prints the steps of the request with the inputs that decided them, whether the caller had been refused before, and the last word that its entry instance had of the endpoints, the configuration, the store and its peers. Damaged lines are counted and passed over.

--- a/org.cowsliplatch.pgm/src/main/java/org/cowsliplatch/pgm/Commands.java
+++ b/org.cowsliplatch.pgm/src/main/java/org/cowsliplatch/pgm/Commands.java
@@ -22,6 +22,7 @@
             StatusCommand::new,
             DrainCommand::new,
             SettingsCheckCommand::new,
+            ExplainCommand::new,
             DemoCommand::new,
             VersionCommand::new);
 
--- a/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/AdminTest.java
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/AdminTest.java
@@ -202,6 +202,7 @@
                 "status",
                 "drain",
                 "settings check",
+                "explain",
                 "demo",
                 "version")) {
             List<String> words = new ArrayList<>(List.of(name.split(" ", -1)));
