--- a/org.cowsliplatch.pgm/src/main/java/org/cowsliplatch/pgm/ExplainCommand.java
+++ b/org.cowsliplatch.pgm/src/main/java/org/cowsliplatch/pgm/ExplainCommand.java
@@ -4,7 +4,6 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
-import java.nio.charset.CodingErrorAction;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -42,13 +41,13 @@
     ExitCode run() throws CommandException {
         RequestTrail trail = new RequestTrail(id);
         long unreadable = read(trail::findRequest);
-        long again = read(trail::findBelief);
+        var unused = read(trail::findBelief);
         if (json) {
             Map<String, Object> result = new LinkedHashMap<>();
             result.put(
                     "requests", trail.requests().stream().map(LogLine::fields).toList());
             result.put("beliefs", trail.beliefs().stream().map(LogLine::fields).toList());
-            result.put("unreadableLines", Math.max(unreadable, again));
+            result.put("unreadableLines", unreadable);
             printJson(result);
         } else {
             trail.requests().forEach(this::printRequest);
@@ -83,14 +82,9 @@
         return unreadable;
     }
 
-    /** Opens a file whose damaged bytes are replaced, so that one bad line does not hide the rest. */
+    /** Opens a file; unlike {@code Files.newBufferedReader}, damaged bytes are replaced and hide no other line. */
     private static BufferedReader open(Path file) throws IOException {
-        return new BufferedReader(new InputStreamReader(
-                Files.newInputStream(file),
-                StandardCharsets.UTF_8
-                        .newDecoder()
-                        .onMalformedInput(CodingErrorAction.REPLACE)
-                        .onUnmappableCharacter(CodingErrorAction.REPLACE)));
+        return new BufferedReader(new InputStreamReader(Files.newInputStream(file), StandardCharsets.UTF_8));
     }
 
     private void printRequest(LogLine line) {
--- a/org.cowsliplatch.pgm/src/main/java/org/cowsliplatch/pgm/LogLine.java
+++ b/org.cowsliplatch.pgm/src/main/java/org/cowsliplatch/pgm/LogLine.java
@@ -1,11 +1,13 @@
 package org.cowsliplatch.pgm;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.ObjectReader;
 import java.time.Instant;
 import java.time.format.DateTimeParseException;
 import java.util.Optional;
+import org.cowsliplatch.internal.util.Json;
 
 /**
  * One line of an entry instance's log.
@@ -16,7 +18,9 @@
  * @param fields all fields of the line
  */
 record LogLine(Instant time, String instance, String event, JsonNode fields) {
-    private static final ObjectMapper MAPPER = new ObjectMapper();
+    /** Reads the first value of a text; a log may hold two lines run together. */
+    private static final ObjectReader READER =
+            Json.MAPPER.reader().without(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
 
     /** Reads a line, whatever a log shipper put before its JSON; empty if it is none of a decision log. */
     static Optional<LogLine> parse(String text) {
@@ -25,7 +29,7 @@
             return Optional.empty();
         }
         try {
-            JsonNode fields = MAPPER.readTree(text.substring(start));
+            JsonNode fields = READER.readTree(text.substring(start));
             if (!fields.path("event").isTextual()) {
                 return Optional.empty();
             }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/EndpointSet.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/EndpointSet.java
@@ -70,7 +70,7 @@
                 known.remove();
                 continue;
             }
-            if (!endpoint.isLeaving() && !endpoint.isSuspended()) {
+            if (endpoint.isInRotation()) {
                 usable.put(endpoint.endpoint().id(), endpoint.endpoint().zone());
             }
             place(endpoint, now);
@@ -157,7 +157,7 @@
     }
 
     private static boolean isUsable(EndpointSlots endpoint, long now) {
-        return !endpoint.isGone() && !endpoint.isLeaving() && !endpoint.isSuspended() && !endpoint.isEjected(now);
+        return !endpoint.isGone() && endpoint.isInRotation() && !endpoint.isEjected(now);
     }
 
     private static boolean isNearer(EndpointSlots a, EndpointSlots b, String zone) {
@@ -257,7 +257,7 @@
         double sum = 0;
         int others = 0;
         for (EndpointSlots endpoint : byId.values()) {
-            if (!endpoint.equals(but) && !endpoint.isLeaving() && !endpoint.isSuspended()) {
+            if (!endpoint.equals(but) && endpoint.isInRotation()) {
                 sum += endpoint.badness();
                 others++;
             }
@@ -269,7 +269,7 @@
         int ejected = 0;
         int usable = 0;
         for (EndpointSlots endpoint : byId.values()) {
-            if (endpoint.isLeaving() || endpoint.isSuspended()) {
+            if (!endpoint.isInRotation()) {
                 continue;
             }
             usable++;
@@ -334,7 +334,7 @@
         total = 0;
         for (EndpointSlots endpoint : byId.values()) {
             free += freeOf(endpoint);
-            if (!endpoint.isLeaving() && !endpoint.isSuspended() && !endpoint.isEjected(now)) {
+            if (endpoint.isInRotation() && !endpoint.isEjected(now)) {
                 total += endpoint.allowed(now);
             }
         }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/EndpointSlots.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/EndpointSlots.java
@@ -81,11 +81,6 @@
         return recent;
     }
 
-    /** Returns whether the endpoint gets nothing for now. */
-    boolean isSuspended() {
-        return suspended;
-    }
-
     Endpoint endpoint() {
         return endpoint;
     }
@@ -102,6 +97,11 @@
         return gone;
     }
 
+    /** Returns whether the endpoint is neither leaving nor suspended, whatever its health. */
+    boolean isInRotation() {
+        return !leaving && !suspended;
+    }
+
     /** Marks the endpoint as leaving; it stays so for its incarnation. */
     void leave() {
         leaving = true;
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/place/AffinityMap.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/place/AffinityMap.java
@@ -74,11 +74,6 @@
         return homes.size() < MOST_OBJECTS ? assign(object) : choose(object, Integer.MAX_VALUE);
     }
 
-    /** Returns the number of objects known. */
-    public int size() {
-        return homes.size();
-    }
-
     private void plan(Collection<String> objects) {
         homes.clear();
         zones.values().forEach(loads -> loads.forEach(load -> load.objects = 0));
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Exchange.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Exchange.java
@@ -47,6 +47,9 @@
     private final Callback callback;
     private final Span span;
     private final long startNanos;
+    /** Time in ms that the caller will wait from the request's arrival, or -1 if it does not say. */
+    private final long callerMs;
+
     private final long deadlineNanos;
     private final RetryBudget retryBudget;
     private final AtomicBoolean finished = new AtomicBoolean();
@@ -76,13 +79,14 @@
         this.response = response;
         this.callback = callback;
         this.startNanos = context.ticker().nanos();
+        this.callerMs = callerMs(context, request);
         this.deadlineNanos = startNanos + TimeUnit.MILLISECONDS.toNanos(timeoutMs(route));
         this.object = route.options().sticky() ? objectOf(request) : "";
         this.requestId = context.dialect()
                 .identity()
                 .map(identity -> request.getHeaders().get(identity.request()))
                 .orElse(null);
-        this.sinceFirst = context.policy().returns().sinceFirst(route.name(), callerMs());
+        this.sinceFirst = context.policy().returns().sinceFirst(route.name(), callerMs);
         this.retryBudget = context.retries().of(pool.name());
         this.span = context.tracing()
                 .receive(
@@ -96,7 +100,12 @@
 
     private long timeoutMs(Route route) {
         long limit = route.timeout().toMillis();
-        return callerMs() < 0 ? limit : Math.max(1, Math.min(limit, callerMs()));
+        return callerMs < 0 ? limit : Math.max(1, Math.min(limit, callerMs));
+    }
+
+    private static long callerMs(EntryContext context, Request request) {
+        String asked = request.getHeaders().get(context.dialect().timeLeft());
+        return asked == null ? -1 : Long.parseLong(asked);
     }
 
     private String objectOf(Request request) {
@@ -145,8 +154,7 @@
 
     /** Returns the time in ms that the caller will wait from the request's arrival, or -1 if it does not say. */
     long callerMs() {
-        String asked = request.getHeaders().get(context.dialect().timeLeft());
-        return asked == null ? -1 : Long.parseLong(asked);
+        return callerMs;
     }
 
     /** Returns the estimate in ms of how long ago the caller first sent the request. */
@@ -310,7 +318,7 @@
                 HttpStatus.SERVICE_UNAVAILABLE_503,
                 detail,
                 Outcome.NOT_RUN,
-                context.policy().returns().delay(route.name(), callerMs()));
+                context.policy().returns().delay(route.name(), callerMs));
     }
 
     private void send(SlotSource.Lease lease) {
