Read and log the rate limits that endpoints name

Cause: no line of the logs tells whether an instance learns of a limit, so the hypotheses on the exceeded limits can't be told apart.

Change: the dialect names the header, each attempt's response is examined, and a change of a limit writes endpoint-limit or endpoint-limit-ended. An unreadable value leaves the known limit in force and is logged. The gauge cowsliplatch_limited_endpoints counts the limits known. No decision depends on them yet.

--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/DeployedEntry.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/DeployedEntry.java
@@ -107,7 +107,13 @@
         SplittableRandom random = new SplittableRandom(new SecureRandom().nextLong());
         this.membership = new Membership(settings.instance(), ticker);
         this.transport = new PeerTransport(this::self, ticker, this);
-        this.broker = new SlotBroker(settings.instance(), settings.zone(), ticker, random.split(), transport);
+        this.broker = new SlotBroker(
+                settings.instance(),
+                settings.zone(),
+                ticker,
+                random.split(),
+                transport,
+                new EndpointLimitLog(decisions));
         this.relay = new ChangeRelay(settings.instance(), settings.region(), ticker, transport);
         this.views = new SteeringViewHolder(this::onView);
         this.log = new TableLog(this::onTables);
@@ -135,6 +141,10 @@
                 "cowsliplatch_grantor_doubts",
                 "Asks for a slot that got no answer from their grantor in time, since the start",
                 broker::fallbacks);
+        metrics.gauge(
+                "cowsliplatch_limited_endpoints",
+                "Endpoints that have named a rate limit, as far as known here",
+                broker::limitedEndpoints);
         metrics.gauge("cowsliplatch_ready", "1 if requests are served", () -> isReady() ? 1 : 0);
         metrics.gauge(
                 "cowsliplatch_peer_sent_bytes", "Bytes of frames sent to peers since the start", transport::sentBytes);
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotBroker.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotBroker.java
@@ -62,6 +62,7 @@
         volatile long sentNanos;
         volatile boolean acknowledged;
         volatile @Nullable Endpoint granted;
+        volatile long grantedNanos;
 
         LocalRequest(long id, GroupId group, SlotRequest.Requirements requirements, SlotCallback callback) {
             this.id = id;
@@ -93,6 +94,11 @@
             return endpoint;
         }
 
+        @Override
+        public void limitNoticed(LimitNotice notice) {
+            limits.observe(endpoint().id(), notice, grantedNanos, self);
+        }
+
         @Override
         public void release(SlotOutcome outcome) {
             if (state.compareAndSet(RequestState.GRANTED, RequestState.DONE)) {
@@ -128,6 +134,7 @@
     private final Map<GroupId, String> grantors = new ConcurrentHashMap<>();
     private final Set<String> suspected = ConcurrentHashMap.newKeySet();
     private final AtomicLong fallbacks = new AtomicLong();
+    private final EndpointLimits limits;
     private volatile SteeringView view = SteeringView.empty();
 
     /**
@@ -140,7 +147,28 @@
      * @param peers sender of messages to other grantors and holders
      */
     public SlotBroker(String self, String zone, Ticker ticker, RandomGenerator random, PeerSender peers) {
+        this(self, zone, ticker, random, peers, EndpointLimits.NO_LISTENER);
+    }
+
+    /**
+     * Creates a broker that reports the rate limits of endpoints.
+     *
+     * @param self name of this entry instance
+     * @param zone availability zone of this entry instance
+     * @param ticker clock
+     * @param random source of randomness, used under a lock
+     * @param peers sender of messages to other grantors and holders
+     * @param limitListener receives the changes of rate limits
+     */
+    public SlotBroker(
+            String self,
+            String zone,
+            Ticker ticker,
+            RandomGenerator random,
+            PeerSender peers,
+            EndpointLimits.Listener limitListener) {
         this.self = self;
+        this.limits = new EndpointLimits(ticker, limitListener);
         this.zone = zone;
         this.ticker = ticker;
         this.peers = peers;
@@ -170,6 +198,16 @@
         }
         fallbackShares.forEach((group, share) -> deliver(group, FALLBACK, updateFallbackShare(group, share)));
         suspected.retainAll(now);
+        limits.retain(listedEndpoints(newView));
+    }
+
+    private static Set<String> listedEndpoints(SteeringView view) {
+        Set<String> ids = new HashSet<>();
+        for (GroupId group : Groups.all(view)) {
+            Groups.endpoints(view, group)
+                    .forEach(listed -> ids.add(listed.endpoint().id()));
+        }
+        return ids;
     }
 
     /** Handles a message of a peer; messages that are not about slots are ignored. */
@@ -228,6 +266,11 @@
         return fallbacks.get();
     }
 
+    /** Returns the number of endpoints that have named a rate limit, as far as this entry instance knows. */
+    public int limitedEndpoints() {
+        return limits.size();
+    }
+
     /** Returns the name of the grantor of a group, or empty if there are no members. */
     public Optional<String> grantorOf(GroupId group) {
         return Optional.ofNullable(grantors.get(group));
@@ -465,6 +508,7 @@
                 return;
             }
             request.granted = endpoint;
+            request.grantedNanos = ticker.nanos();
             if (request.state.compareAndSet(RequestState.WAITING, RequestState.GRANTED)) {
                 request.callback.granted(request);
                 return;
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotSource.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotSource.java
@@ -22,6 +22,9 @@
         /** Returns the endpoint of the slot. */
         Endpoint endpoint();
 
+        /** Records what the response says about the rate limit of the endpoint; to be called before the release. */
+        void limitNoticed(LimitNotice notice);
+
         /** Releases the slot; calls after the first have no effect. */
         void release(SlotOutcome outcome);
     }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/AttemptFailure.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/AttemptFailure.java
@@ -58,6 +58,11 @@
             return this == CONNECTION_REFUSED || this == NOT_SENT;
         }
 
+        /** Returns whether the response that was rejected came from the endpoint that the request was sent to. */
+        boolean isFromEndpoint() {
+            return this == SHED || this == LEAVING || this == BROKEN_PROMISE || this == FAILED_ANSWER;
+        }
+
         /** Returns the outcome to report when the slot is released. */
         SlotOutcome slotOutcome() {
             return slotOutcome;
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/EndpointAttemptListener.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/EndpointAttemptListener.java
@@ -1,8 +1,10 @@
 package org.cowsliplatch.internal.proxy;
 
 import io.opentelemetry.api.trace.Span;
+import org.cowsliplatch.internal.limit.LimitNotice;
 import org.cowsliplatch.internal.limit.SlotOutcome;
 import org.cowsliplatch.internal.limit.SlotSource;
+import org.cowsliplatch.internal.telemetry.DecisionLog;
 import org.cowsliplatch.internal.telemetry.Tracing;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.http.HttpFields;
@@ -13,6 +15,9 @@
 
 /** Handles the response to, or the failure of, one attempt of an {@link Exchange} at an endpoint. */
 final class EndpointAttemptListener implements Attempt.Listener {
+    /** Maximum length of an unreadable header value in the log, in characters. */
+    private static final int MAX_LOGGED_CHARACTERS = 40;
+
     private final Exchange exchange;
     private final SlotSource.Lease lease;
     private final Span span;
@@ -29,6 +34,9 @@
     public AttemptFailure.@Nullable Kind validate(Response response) {
         AttemptFailure.Kind rejection = ResponseValidator.validate(
                 exchange.context().dialect(), exchange.requestId(), response.getStatus(), response.getHeaders());
+        if (rejection == null || rejection.isFromEndpoint()) {
+            noticeLimit(response.getHeaders());
+        }
         if (rejection != null || !retriesErrorResponse(response.getStatus())) {
             return rejection;
         }
@@ -37,6 +45,25 @@
         return retrying ? AttemptFailure.Kind.FAILED_ANSWER : null;
     }
 
+    private void noticeLimit(HttpFields headers) {
+        String header = exchange.context().dialect().serverLimit().orElse(null);
+        if (header == null) {
+            return;
+        }
+        String value = headers.get(header);
+        LimitNotice notice = LimitNotice.parse(value);
+        if (value != null && notice.kind() == LimitNotice.Kind.UNKNOWN) {
+            exchange.context()
+                    .decisionLog()
+                    .line("endpoint-limit-unreadable")
+                    .with("endpoint", lease.endpoint().id())
+                    .with("value", value.substring(0, Math.min(value.length(), MAX_LOGGED_CHARACTERS)))
+                    .with("reason", "expected a decimal number of requests per second, 0 or more")
+                    .write(DecisionLog.Weight.USUAL);
+        }
+        lease.limitNoticed(notice);
+    }
+
     private boolean retriesErrorResponse(int responseStatus) {
         return HttpStatus.isServerError(responseStatus)
                 && exchange.route().idempotent()
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Headers.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Headers.java
@@ -25,8 +25,8 @@
     public static final String REPLAYED = "Idempotency-Replayed";
 
     /** Dialect of the product's own interface, between callers, entry instances and backend servers. */
-    public static final HttpDialect DEFAULT_DIALECT =
-            new HttpDialect(TIMEOUT_MS, NOT_RUN, Optional.of(LEAVING), Optional.empty(), Optional.empty());
+    public static final HttpDialect DEFAULT_DIALECT = new HttpDialect(
+            TIMEOUT_MS, NOT_RUN, Optional.of(LEAVING), Optional.empty(), Optional.empty(), Optional.empty());
 
     private static final Set<String> HOP_BY_HOP = Set.of(
             "connection",
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/platform/HttpDialect.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/platform/HttpDialect.java
@@ -10,13 +10,16 @@
  * @param leaving response header: the backend server is leaving; empty if there is no such header
  * @param identity headers that tie a response to its request; empty if there are none
  * @param objectCookie request cookie that names the object of the request; empty if there is none
+ * @param serverLimit response header: requests per second that the backend server takes from all entry instances
+ *     together; empty if there is no such header
  */
 public record HttpDialect(
         String timeLeft,
         String notRun,
         Optional<String> leaving,
         Optional<Identity> identity,
-        Optional<String> objectCookie) {
+        Optional<String> objectCookie,
+        Optional<String> serverLimit) {
     /**
      * Headers that tie a response to its request and to the endpoint that ran it.
      *
