--- a/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/PeerCodecTest.java
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/PeerCodecTest.java
@@ -10,6 +10,8 @@
 import net.jqwik.api.constraints.Size;
 import org.cowsliplatch.internal.limit.Endpoint;
 import org.cowsliplatch.internal.limit.GroupId;
+import org.cowsliplatch.internal.limit.LimitNotice;
+import org.cowsliplatch.internal.limit.RateBound;
 import org.cowsliplatch.internal.limit.Refusal;
 import org.cowsliplatch.internal.limit.SlotOutcome;
 import org.cowsliplatch.internal.limit.SlotRequest;
@@ -38,9 +40,19 @@
                 new PeerMessage.SlotDeclined(7),
                 new PeerMessage.SlotGranted(GROUP, 7, new Endpoint("e", "a", "r", "z")),
                 new PeerMessage.SlotRefused(7, Refusal.TOO_LATE),
+                new PeerMessage.SlotRefused(7, Refusal.RATE_LIMITED, Optional.of(new RateBound(2.5, 3, 40, 0.5, 60))),
                 new PeerMessage.SlotCancel(GROUP, 7),
                 new PeerMessage.SlotRelease(GROUP, 7, SlotOutcome.CUT),
+                new PeerMessage.SlotRelease(
+                        GROUP,
+                        7,
+                        SlotOutcome.ANSWERED,
+                        Optional.of(new PeerMessage.EndpointLimit("e", LimitNotice.ABSENT, 0))),
+                new PeerMessage.LimitsChanged(
+                        GROUP, List.of(new PeerMessage.EndpointLimit("e", LimitNotice.named(2.5), 40))),
                 new PeerMessage.HoldingsQuery(GROUP),
+                new PeerMessage.Holdings(
+                        GROUP, List.of(), List.of(new PeerMessage.EndpointLimit("e", LimitNotice.named(2.5), 40))),
                 new PeerMessage.Holdings(GROUP, List.of(new PeerMessage.Holding(7, "e", Rank.URGENT))),
                 new PeerMessage.TablesWanted(3),
                 new PeerMessage.TablesChanges(List.of("{}")),
--- a/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/Heartbeat.java
+++ b/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/Heartbeat.java
@@ -121,6 +121,44 @@
     return loads_.get(index);
   }
 
+  public static final int CHANGED_LIMITS_FIELD_NUMBER = 3;
+  private org.cowsliplatch.wire.EndpointLimits changedLimits_;
+  /**
+   * <pre>
+   * Limits that have changed since the last heartbeat; older builds ignore them.
+   * </pre>
+   *
+   * <code>.cowsliplatch.peer.EndpointLimits changed_limits = 3;</code>
+   * @return Whether the changedLimits field is set.
+   */
+  @java.lang.Override
+  public boolean hasChangedLimits() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <pre>
+   * Limits that have changed since the last heartbeat; older builds ignore them.
+   * </pre>
+   *
+   * <code>.cowsliplatch.peer.EndpointLimits changed_limits = 3;</code>
+   * @return The changedLimits.
+   */
+  @java.lang.Override
+  public org.cowsliplatch.wire.EndpointLimits getChangedLimits() {
+    return changedLimits_ == null ? org.cowsliplatch.wire.EndpointLimits.getDefaultInstance() : changedLimits_;
+  }
+  /**
+   * <pre>
+   * Limits that have changed since the last heartbeat; older builds ignore them.
+   * </pre>
+   *
+   * <code>.cowsliplatch.peer.EndpointLimits changed_limits = 3;</code>
+   */
+  @java.lang.Override
+  public org.cowsliplatch.wire.EndpointLimitsOrBuilder getChangedLimitsOrBuilder() {
+    return changedLimits_ == null ? org.cowsliplatch.wire.EndpointLimits.getDefaultInstance() : changedLimits_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -141,6 +179,9 @@
     for (int i = 0; i < loads_.size(); i++) {
       output.writeMessage(2, loads_.get(i));
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      output.writeMessage(3, getChangedLimits());
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -158,6 +199,10 @@
           }
           size += 1 * count;
         }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(3, getChangedLimits());
+    }
     return size;
   }
   @java.lang.Override
@@ -189,6 +234,11 @@
     }
     if (!getLoadsList()
         .equals(other.getLoadsList())) return false;
+    if (hasChangedLimits() != other.hasChangedLimits()) return false;
+    if (hasChangedLimits()) {
+      if (!getChangedLimits()
+          .equals(other.getChangedLimits())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -208,6 +258,10 @@
       hash = (37 * hash) + LOADS_FIELD_NUMBER;
       hash = (53 * hash) + getLoadsList().hashCode();
     }
+    if (hasChangedLimits()) {
+      hash = (37 * hash) + CHANGED_LIMITS_FIELD_NUMBER;
+      hash = (53 * hash) + getChangedLimits().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -344,6 +398,7 @@
               .alwaysUseFieldBuilders) {
         internalGetMemberFieldBuilder();
         internalGetLoadsFieldBuilder();
+        internalGetChangedLimitsFieldBuilder();
       }
     }
     @java.lang.Override
@@ -362,6 +417,11 @@
         loadsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000002);
+      changedLimits_ = null;
+      if (changedLimitsBuilder_ != null) {
+        changedLimitsBuilder_.dispose();
+        changedLimitsBuilder_ = null;
+      }
       return this;
     }
 
@@ -415,6 +475,12 @@
             : memberBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.changedLimits_ = changedLimitsBuilder_ == null
+            ? changedLimits_
+            : changedLimitsBuilder_.build();
+        to_bitField0_ |= 0x00000002;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -459,6 +525,9 @@
           }
         }
       }
+      if (other.hasChangedLimits()) {
+        mergeChangedLimits(other.getChangedLimits());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -503,6 +572,13 @@
               }
               break;
             } // case 18
+            case 26: {
+              input.readMessage(
+                  internalGetChangedLimitsFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 26
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -873,6 +949,161 @@
       return loadsBuilder_;
     }
 
+    private org.cowsliplatch.wire.EndpointLimits changedLimits_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cowsliplatch.wire.EndpointLimits, org.cowsliplatch.wire.EndpointLimits.Builder, org.cowsliplatch.wire.EndpointLimitsOrBuilder> changedLimitsBuilder_;
+    /**
+     * <pre>
+     * Limits that have changed since the last heartbeat; older builds ignore them.
+     * </pre>
+     *
+     * <code>.cowsliplatch.peer.EndpointLimits changed_limits = 3;</code>
+     * @return Whether the changedLimits field is set.
+     */
+    public boolean hasChangedLimits() {
+      return ((bitField0_ & 0x00000004) != 0);
+    }
+    /**
+     * <pre>
+     * Limits that have changed since the last heartbeat; older builds ignore them.
+     * </pre>
+     *
+     * <code>.cowsliplatch.peer.EndpointLimits changed_limits = 3;</code>
+     * @return The changedLimits.
+     */
+    public org.cowsliplatch.wire.EndpointLimits getChangedLimits() {
+      if (changedLimitsBuilder_ == null) {
+        return changedLimits_ == null ? org.cowsliplatch.wire.EndpointLimits.getDefaultInstance() : changedLimits_;
+      } else {
+        return changedLimitsBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * Limits that have changed since the last heartbeat; older builds ignore them.
+     * </pre>
+     *
+     * <code>.cowsliplatch.peer.EndpointLimits changed_limits = 3;</code>
+     */
+    public Builder setChangedLimits(org.cowsliplatch.wire.EndpointLimits value) {
+      if (changedLimitsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        changedLimits_ = value;
+      } else {
+        changedLimitsBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Limits that have changed since the last heartbeat; older builds ignore them.
+     * </pre>
+     *
+     * <code>.cowsliplatch.peer.EndpointLimits changed_limits = 3;</code>
+     */
+    public Builder setChangedLimits(
+        org.cowsliplatch.wire.EndpointLimits.Builder builderForValue) {
+      if (changedLimitsBuilder_ == null) {
+        changedLimits_ = builderForValue.build();
+      } else {
+        changedLimitsBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Limits that have changed since the last heartbeat; older builds ignore them.
+     * </pre>
+     *
+     * <code>.cowsliplatch.peer.EndpointLimits changed_limits = 3;</code>
+     */
+    public Builder mergeChangedLimits(org.cowsliplatch.wire.EndpointLimits value) {
+      if (changedLimitsBuilder_ == null) {
+        if (((bitField0_ & 0x00000004) != 0) &&
+          changedLimits_ != null &&
+          changedLimits_ != org.cowsliplatch.wire.EndpointLimits.getDefaultInstance()) {
+          getChangedLimitsBuilder().mergeFrom(value);
+        } else {
+          changedLimits_ = value;
+        }
+      } else {
+        changedLimitsBuilder_.mergeFrom(value);
+      }
+      if (changedLimits_ != null) {
+        bitField0_ |= 0x00000004;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Limits that have changed since the last heartbeat; older builds ignore them.
+     * </pre>
+     *
+     * <code>.cowsliplatch.peer.EndpointLimits changed_limits = 3;</code>
+     */
+    public Builder clearChangedLimits() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      changedLimits_ = null;
+      if (changedLimitsBuilder_ != null) {
+        changedLimitsBuilder_.dispose();
+        changedLimitsBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Limits that have changed since the last heartbeat; older builds ignore them.
+     * </pre>
+     *
+     * <code>.cowsliplatch.peer.EndpointLimits changed_limits = 3;</code>
+     */
+    public org.cowsliplatch.wire.EndpointLimits.Builder getChangedLimitsBuilder() {
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return internalGetChangedLimitsFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * Limits that have changed since the last heartbeat; older builds ignore them.
+     * </pre>
+     *
+     * <code>.cowsliplatch.peer.EndpointLimits changed_limits = 3;</code>
+     */
+    public org.cowsliplatch.wire.EndpointLimitsOrBuilder getChangedLimitsOrBuilder() {
+      if (changedLimitsBuilder_ != null) {
+        return changedLimitsBuilder_.getMessageOrBuilder();
+      } else {
+        return changedLimits_ == null ?
+            org.cowsliplatch.wire.EndpointLimits.getDefaultInstance() : changedLimits_;
+      }
+    }
+    /**
+     * <pre>
+     * Limits that have changed since the last heartbeat; older builds ignore them.
+     * </pre>
+     *
+     * <code>.cowsliplatch.peer.EndpointLimits changed_limits = 3;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cowsliplatch.wire.EndpointLimits, org.cowsliplatch.wire.EndpointLimits.Builder, org.cowsliplatch.wire.EndpointLimitsOrBuilder> 
+        internalGetChangedLimitsFieldBuilder() {
+      if (changedLimitsBuilder_ == null) {
+        changedLimitsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.cowsliplatch.wire.EndpointLimits, org.cowsliplatch.wire.EndpointLimits.Builder, org.cowsliplatch.wire.EndpointLimitsOrBuilder>(
+                getChangedLimits(),
+                getParentForChildren(),
+                isClean());
+        changedLimits_ = null;
+      }
+      return changedLimitsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:cowsliplatch.peer.Heartbeat)
   }
 
--- a/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/HeartbeatOrBuilder.java
+++ b/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/HeartbeatOrBuilder.java
@@ -48,4 +48,31 @@
    */
   org.cowsliplatch.wire.GroupReportOrBuilder getLoadsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Limits that have changed since the last heartbeat; older builds ignore them.
+   * </pre>
+   *
+   * <code>.cowsliplatch.peer.EndpointLimits changed_limits = 3;</code>
+   * @return Whether the changedLimits field is set.
+   */
+  boolean hasChangedLimits();
+  /**
+   * <pre>
+   * Limits that have changed since the last heartbeat; older builds ignore them.
+   * </pre>
+   *
+   * <code>.cowsliplatch.peer.EndpointLimits changed_limits = 3;</code>
+   * @return The changedLimits.
+   */
+  org.cowsliplatch.wire.EndpointLimits getChangedLimits();
+  /**
+   * <pre>
+   * Limits that have changed since the last heartbeat; older builds ignore them.
+   * </pre>
+   *
+   * <code>.cowsliplatch.peer.EndpointLimits changed_limits = 3;</code>
+   */
+  org.cowsliplatch.wire.EndpointLimitsOrBuilder getChangedLimitsOrBuilder();
 }
--- a/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/Holdings.java
+++ b/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/Holdings.java
@@ -29,6 +29,7 @@
   }
   private Holdings() {
     holdings_ = java.util.Collections.emptyList();
+    limits_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -117,6 +118,47 @@
     return holdings_.get(index);
   }
 
+  public static final int LIMITS_FIELD_NUMBER = 3;
+  @SuppressWarnings("serial")
+  private java.util.List<org.cowsliplatch.wire.EndpointLimit> limits_;
+  /**
+   * <code>repeated .cowsliplatch.peer.EndpointLimit limits = 3;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.cowsliplatch.wire.EndpointLimit> getLimitsList() {
+    return limits_;
+  }
+  /**
+   * <code>repeated .cowsliplatch.peer.EndpointLimit limits = 3;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.cowsliplatch.wire.EndpointLimitOrBuilder> 
+      getLimitsOrBuilderList() {
+    return limits_;
+  }
+  /**
+   * <code>repeated .cowsliplatch.peer.EndpointLimit limits = 3;</code>
+   */
+  @java.lang.Override
+  public int getLimitsCount() {
+    return limits_.size();
+  }
+  /**
+   * <code>repeated .cowsliplatch.peer.EndpointLimit limits = 3;</code>
+   */
+  @java.lang.Override
+  public org.cowsliplatch.wire.EndpointLimit getLimits(int index) {
+    return limits_.get(index);
+  }
+  /**
+   * <code>repeated .cowsliplatch.peer.EndpointLimit limits = 3;</code>
+   */
+  @java.lang.Override
+  public org.cowsliplatch.wire.EndpointLimitOrBuilder getLimitsOrBuilder(
+      int index) {
+    return limits_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -137,6 +179,9 @@
     for (int i = 0; i < holdings_.size(); i++) {
       output.writeMessage(2, holdings_.get(i));
     }
+    for (int i = 0; i < limits_.size(); i++) {
+      output.writeMessage(3, limits_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -154,6 +199,15 @@
           }
           size += 1 * count;
         }
+
+        {
+          final int count = limits_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(limits_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -185,6 +239,8 @@
     }
     if (!getHoldingsList()
         .equals(other.getHoldingsList())) return false;
+    if (!getLimitsList()
+        .equals(other.getLimitsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -204,6 +260,10 @@
       hash = (37 * hash) + HOLDINGS_FIELD_NUMBER;
       hash = (53 * hash) + getHoldingsList().hashCode();
     }
+    if (getLimitsCount() > 0) {
+      hash = (37 * hash) + LIMITS_FIELD_NUMBER;
+      hash = (53 * hash) + getLimitsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -336,6 +396,7 @@
               .alwaysUseFieldBuilders) {
         internalGetGroupFieldBuilder();
         internalGetHoldingsFieldBuilder();
+        internalGetLimitsFieldBuilder();
       }
     }
     @java.lang.Override
@@ -354,6 +415,13 @@
         holdingsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000002);
+      if (limitsBuilder_ == null) {
+        limits_ = java.util.Collections.emptyList();
+      } else {
+        limits_ = null;
+        limitsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000004);
       return this;
     }
 
@@ -396,6 +464,15 @@
       } else {
         result.holdings_ = holdingsBuilder_.build();
       }
+      if (limitsBuilder_ == null) {
+        if (((bitField0_ & 0x00000004) != 0)) {
+          limits_ = java.util.Collections.unmodifiableList(limits_);
+          bitField0_ = (bitField0_ & ~0x00000004);
+        }
+        result.limits_ = limits_;
+      } else {
+        result.limits_ = limitsBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.cowsliplatch.wire.Holdings result) {
@@ -451,6 +528,32 @@
           }
         }
       }
+      if (limitsBuilder_ == null) {
+        if (!other.limits_.isEmpty()) {
+          if (limits_.isEmpty()) {
+            limits_ = other.limits_;
+            bitField0_ = (bitField0_ & ~0x00000004);
+          } else {
+            ensureLimitsIsMutable();
+            limits_.addAll(other.limits_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.limits_.isEmpty()) {
+          if (limitsBuilder_.isEmpty()) {
+            limitsBuilder_.dispose();
+            limitsBuilder_ = null;
+            limits_ = other.limits_;
+            bitField0_ = (bitField0_ & ~0x00000004);
+            limitsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetLimitsFieldBuilder() : null;
+          } else {
+            limitsBuilder_.addAllMessages(other.limits_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -495,6 +598,19 @@
               }
               break;
             } // case 18
+            case 26: {
+              org.cowsliplatch.wire.EndpointLimit m =
+                  input.readMessage(
+                      org.cowsliplatch.wire.EndpointLimit.parser(),
+                      extensionRegistry);
+              if (limitsBuilder_ == null) {
+                ensureLimitsIsMutable();
+                limits_.add(m);
+              } else {
+                limitsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 26
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -865,6 +981,240 @@
       return holdingsBuilder_;
     }
 
+    private java.util.List<org.cowsliplatch.wire.EndpointLimit> limits_ =
+      java.util.Collections.emptyList();
+    private void ensureLimitsIsMutable() {
+      if (!((bitField0_ & 0x00000004) != 0)) {
+        limits_ = new java.util.ArrayList<org.cowsliplatch.wire.EndpointLimit>(limits_);
+        bitField0_ |= 0x00000004;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.cowsliplatch.wire.EndpointLimit, org.cowsliplatch.wire.EndpointLimit.Builder, org.cowsliplatch.wire.EndpointLimitOrBuilder> limitsBuilder_;
+
+    /**
+     * <code>repeated .cowsliplatch.peer.EndpointLimit limits = 3;</code>
+     */
+    public java.util.List<org.cowsliplatch.wire.EndpointLimit> getLimitsList() {
+      if (limitsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(limits_);
+      } else {
+        return limitsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .cowsliplatch.peer.EndpointLimit limits = 3;</code>
+     */
+    public int getLimitsCount() {
+      if (limitsBuilder_ == null) {
+        return limits_.size();
+      } else {
+        return limitsBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .cowsliplatch.peer.EndpointLimit limits = 3;</code>
+     */
+    public org.cowsliplatch.wire.EndpointLimit getLimits(int index) {
+      if (limitsBuilder_ == null) {
+        return limits_.get(index);
+      } else {
+        return limitsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .cowsliplatch.peer.EndpointLimit limits = 3;</code>
+     */
+    public Builder setLimits(
+        int index, org.cowsliplatch.wire.EndpointLimit value) {
+      if (limitsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureLimitsIsMutable();
+        limits_.set(index, value);
+        onChanged();
+      } else {
+        limitsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cowsliplatch.peer.EndpointLimit limits = 3;</code>
+     */
+    public Builder setLimits(
+        int index, org.cowsliplatch.wire.EndpointLimit.Builder builderForValue) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        limitsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cowsliplatch.peer.EndpointLimit limits = 3;</code>
+     */
+    public Builder addLimits(org.cowsliplatch.wire.EndpointLimit value) {
+      if (limitsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureLimitsIsMutable();
+        limits_.add(value);
+        onChanged();
+      } else {
+        limitsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cowsliplatch.peer.EndpointLimit limits = 3;</code>
+     */
+    public Builder addLimits(
+        int index, org.cowsliplatch.wire.EndpointLimit value) {
+      if (limitsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureLimitsIsMutable();
+        limits_.add(index, value);
+        onChanged();
+      } else {
+        limitsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cowsliplatch.peer.EndpointLimit limits = 3;</code>
+     */
+    public Builder addLimits(
+        org.cowsliplatch.wire.EndpointLimit.Builder builderForValue) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.add(builderForValue.build());
+        onChanged();
+      } else {
+        limitsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cowsliplatch.peer.EndpointLimit limits = 3;</code>
+     */
+    public Builder addLimits(
+        int index, org.cowsliplatch.wire.EndpointLimit.Builder builderForValue) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        limitsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cowsliplatch.peer.EndpointLimit limits = 3;</code>
+     */
+    public Builder addAllLimits(
+        java.lang.Iterable<? extends org.cowsliplatch.wire.EndpointLimit> values) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, limits_);
+        onChanged();
+      } else {
+        limitsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cowsliplatch.peer.EndpointLimit limits = 3;</code>
+     */
+    public Builder clearLimits() {
+      if (limitsBuilder_ == null) {
+        limits_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000004);
+        onChanged();
+      } else {
+        limitsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cowsliplatch.peer.EndpointLimit limits = 3;</code>
+     */
+    public Builder removeLimits(int index) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.remove(index);
+        onChanged();
+      } else {
+        limitsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cowsliplatch.peer.EndpointLimit limits = 3;</code>
+     */
+    public org.cowsliplatch.wire.EndpointLimit.Builder getLimitsBuilder(
+        int index) {
+      return internalGetLimitsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .cowsliplatch.peer.EndpointLimit limits = 3;</code>
+     */
+    public org.cowsliplatch.wire.EndpointLimitOrBuilder getLimitsOrBuilder(
+        int index) {
+      if (limitsBuilder_ == null) {
+        return limits_.get(index);  } else {
+        return limitsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .cowsliplatch.peer.EndpointLimit limits = 3;</code>
+     */
+    public java.util.List<? extends org.cowsliplatch.wire.EndpointLimitOrBuilder> 
+         getLimitsOrBuilderList() {
+      if (limitsBuilder_ != null) {
+        return limitsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(limits_);
+      }
+    }
+    /**
+     * <code>repeated .cowsliplatch.peer.EndpointLimit limits = 3;</code>
+     */
+    public org.cowsliplatch.wire.EndpointLimit.Builder addLimitsBuilder() {
+      return internalGetLimitsFieldBuilder().addBuilder(
+          org.cowsliplatch.wire.EndpointLimit.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .cowsliplatch.peer.EndpointLimit limits = 3;</code>
+     */
+    public org.cowsliplatch.wire.EndpointLimit.Builder addLimitsBuilder(
+        int index) {
+      return internalGetLimitsFieldBuilder().addBuilder(
+          index, org.cowsliplatch.wire.EndpointLimit.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .cowsliplatch.peer.EndpointLimit limits = 3;</code>
+     */
+    public java.util.List<org.cowsliplatch.wire.EndpointLimit.Builder> 
+         getLimitsBuilderList() {
+      return internalGetLimitsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.cowsliplatch.wire.EndpointLimit, org.cowsliplatch.wire.EndpointLimit.Builder, org.cowsliplatch.wire.EndpointLimitOrBuilder> 
+        internalGetLimitsFieldBuilder() {
+      if (limitsBuilder_ == null) {
+        limitsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.cowsliplatch.wire.EndpointLimit, org.cowsliplatch.wire.EndpointLimit.Builder, org.cowsliplatch.wire.EndpointLimitOrBuilder>(
+                limits_,
+                ((bitField0_ & 0x00000004) != 0),
+                getParentForChildren(),
+                isClean());
+        limits_ = null;
+      }
+      return limitsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:cowsliplatch.peer.Holdings)
   }
 
--- a/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/HoldingsOrBuilder.java
+++ b/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/HoldingsOrBuilder.java
@@ -48,4 +48,28 @@
    */
   org.cowsliplatch.wire.HoldingOrBuilder getHoldingsOrBuilder(
       int index);
+
+  /**
+   * <code>repeated .cowsliplatch.peer.EndpointLimit limits = 3;</code>
+   */
+  java.util.List<org.cowsliplatch.wire.EndpointLimit> 
+      getLimitsList();
+  /**
+   * <code>repeated .cowsliplatch.peer.EndpointLimit limits = 3;</code>
+   */
+  org.cowsliplatch.wire.EndpointLimit getLimits(int index);
+  /**
+   * <code>repeated .cowsliplatch.peer.EndpointLimit limits = 3;</code>
+   */
+  int getLimitsCount();
+  /**
+   * <code>repeated .cowsliplatch.peer.EndpointLimit limits = 3;</code>
+   */
+  java.util.List<? extends org.cowsliplatch.wire.EndpointLimitOrBuilder> 
+      getLimitsOrBuilderList();
+  /**
+   * <code>repeated .cowsliplatch.peer.EndpointLimit limits = 3;</code>
+   */
+  org.cowsliplatch.wire.EndpointLimitOrBuilder getLimitsOrBuilder(
+      int index);
 }
--- a/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/Peer.java
+++ b/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/Peer.java
@@ -91,6 +91,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_cowsliplatch_peer_SlotRefused_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_cowsliplatch_peer_RateBound_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_cowsliplatch_peer_RateBound_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_cowsliplatch_peer_SlotCancel_descriptor;
   static final 
@@ -101,6 +106,16 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_cowsliplatch_peer_SlotRelease_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_cowsliplatch_peer_EndpointLimit_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_cowsliplatch_peer_EndpointLimit_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_cowsliplatch_peer_EndpointLimits_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_cowsliplatch_peer_EndpointLimits_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_cowsliplatch_peer_HoldingsQuery_descriptor;
   static final 
@@ -203,54 +218,67 @@
       "\001(\t\022\017\n\007leaving\030\010 \001(\010\022\025\n\rtable_version\030\t " +
       "\001(\003\022\024\n\014table_digest\030\n \001(\t\022\022\n\nkey_prefix\030" +
       "\013 \001(\t\022\027\n\017adopted_domains\030\014 \003(\t\022\023\n\013known_" +
-      "peers\030\r \003(\t\"e\n\tHeartbeat\022)\n\006member\030\001 \001(\013" +
-      "2\031.cowsliplatch.peer.Member\022-\n\005loads\030\002 \003" +
-      "(\0132\036.cowsliplatch.peer.GroupReport\"%\n\014He" +
-      "artbeatAck\022\025\n\rmember_wanted\030\001 \001(\010\"%\n\005Gro" +
-      "up\022\014\n\004pool\030\001 \001(\t\022\016\n\006region\030\002 \001(\t\"y\n\013Grou" +
-      "pReport\022\'\n\005group\030\001 \001(\0132\030.cowsliplatch.pe" +
-      "er.Group\022\r\n\005slots\030\002 \001(\005\022\014\n\004free\030\003 \001(\005\022\023\n" +
-      "\013outstanding\030\004 \001(\005\022\017\n\007waiting\030\005 \001(\005\"\272\001\n\007" +
-      "SlotAsk\022\'\n\005group\030\001 \001(\0132\030.cowsliplatch.pe" +
-      "er.Group\022\016\n\006ask_id\030\002 \001(\006\022\014\n\004rank\030\003 \001(\005\022\014" +
-      "\n\004zone\030\004 \001(\t\022\024\n\014waited_nanos\030\005 \001(\003\022\022\n\nle" +
-      "ft_nanos\030\006 \001(\003\022\r\n\005avoid\030\007 \003(\t\022\021\n\tdue_nan" +
-      "os\030\010 \001(\003\022\016\n\006object\030\t \001(\t\"\034\n\nSlotQueued\022\016" +
-      "\n\006ask_id\030\001 \001(\006\"\036\n\014SlotDeclined\022\016\n\006ask_id" +
-      "\030\001 \001(\006\"E\n\010Endpoint\022\n\n\002id\030\001 \001(\t\022\017\n\007addres" +
-      "s\030\002 \001(\t\022\016\n\006region\030\003 \001(\t\022\014\n\004zone\030\004 \001(\t\"u\n" +
-      "\013SlotGranted\022\'\n\005group\030\001 \001(\0132\030.cowsliplat" +
-      "ch.peer.Group\022\016\n\006ask_id\030\002 \001(\006\022-\n\010endpoin" +
-      "t\030\003 \001(\0132\033.cowsliplatch.peer.Endpoint\"*\n\013" +
-      "SlotRefused\022\016\n\006ask_id\030\001 \001(\006\022\013\n\003why\030\002 \001(\005" +
-      "\"E\n\nSlotCancel\022\'\n\005group\030\001 \001(\0132\030.cowslipl" +
-      "atch.peer.Group\022\016\n\006ask_id\030\002 \001(\006\"W\n\013SlotR" +
-      "elease\022\'\n\005group\030\001 \001(\0132\030.cowsliplatch.pee" +
-      "r.Group\022\016\n\006ask_id\030\002 \001(\006\022\017\n\007outcome\030\003 \001(\005" +
-      "\"8\n\rHoldingsQuery\022\'\n\005group\030\001 \001(\0132\030.cowsl" +
-      "iplatch.peer.Group\"<\n\007Holding\022\016\n\006ask_id\030" +
-      "\001 \001(\006\022\023\n\013endpoint_id\030\002 \001(\t\022\014\n\004rank\030\003 \001(\005" +
-      "\"a\n\010Holdings\022\'\n\005group\030\001 \001(\0132\030.cowsliplat" +
-      "ch.peer.Group\022,\n\010holdings\030\002 \003(\0132\032.cowsli" +
-      "platch.peer.Holding\"\035\n\014TablesWanted\022\r\n\005a" +
-      "fter\030\001 \001(\003\" \n\rTablesChanges\022\017\n\007changes\030\001" +
-      " \003(\t\"0\n\013TablesWhole\022\017\n\007version\030\001 \001(\003\022\020\n\010" +
-      "document\030\002 \001(\t\"\234\001\n\tKeyRecord\022\013\n\003key\030\001 \001(" +
-      "\t\022\023\n\013fingerprint\030\002 \001(\t\022\016\n\006minute\030\003 \001(\003\022+" +
-      "\n\006answer\030\004 \001(\0132\031.cowsliplatch.peer.Answe" +
-      "rH\000\022\021\n\007not_run\030\005 \001(\tH\000\022\021\n\007unknown\030\006 \001(\tH" +
-      "\000B\n\n\010recorded\"7\n\006Answer\022\016\n\006status\030\001 \001(\005\022" +
-      "\017\n\007headers\030\002 \003(\t\022\014\n\004body\030\003 \001(\014\"~\n\014KeysHa" +
-      "ndOver\022\016\n\006domain\030\001 \001(\t\022\016\n\006secret\030\002 \001(\014\022\021" +
-      "\n\tage_nanos\030\003 \001(\003\022-\n\007records\030\004 \003(\0132\034.cow" +
-      "sliplatch.peer.KeyRecord\022\014\n\004last\030\005 \001(\010\"\033" +
-      "\n\tKeysTaken\022\016\n\006domain\030\001 \001(\t\"H\n\010StoreRow\022" +
-      "\013\n\003key\030\001 \001(\t\022\017\n\007version\030\002 \001(\003\022\r\n\005value\030\003" +
-      " \001(\014\022\017\n\007removed\030\004 \001(\010\"\200\001\n\014StoreChanges\022\r" +
-      "\n\005table\030\001 \001(\t\022\r\n\005after\030\002 \001(\003\022\017\n\007version\030" +
-      "\003 \001(\003\022)\n\004rows\030\004 \003(\0132\033.cowsliplatch.peer." +
-      "StoreRow\022\026\n\016store_returned\030\005 \001(\010B\033\n\025org." +
-      "cowsliplatch.wireH\001P\001b\006proto3"
+      "peers\030\r \003(\t\"\240\001\n\tHeartbeat\022)\n\006member\030\001 \001(" +
+      "\0132\031.cowsliplatch.peer.Member\022-\n\005loads\030\002 " +
+      "\003(\0132\036.cowsliplatch.peer.GroupReport\0229\n\016c" +
+      "hanged_limits\030\003 \001(\0132!.cowsliplatch.peer." +
+      "EndpointLimits\"%\n\014HeartbeatAck\022\025\n\rmember" +
+      "_wanted\030\001 \001(\010\"%\n\005Group\022\014\n\004pool\030\001 \001(\t\022\016\n\006" +
+      "region\030\002 \001(\t\"y\n\013GroupReport\022\'\n\005group\030\001 \001" +
+      "(\0132\030.cowsliplatch.peer.Group\022\r\n\005slots\030\002 " +
+      "\001(\005\022\014\n\004free\030\003 \001(\005\022\023\n\013outstanding\030\004 \001(\005\022\017" +
+      "\n\007waiting\030\005 \001(\005\"\272\001\n\007SlotAsk\022\'\n\005group\030\001 \001" +
+      "(\0132\030.cowsliplatch.peer.Group\022\016\n\006ask_id\030\002" +
+      " \001(\006\022\014\n\004rank\030\003 \001(\005\022\014\n\004zone\030\004 \001(\t\022\024\n\014wait" +
+      "ed_nanos\030\005 \001(\003\022\022\n\nleft_nanos\030\006 \001(\003\022\r\n\005av" +
+      "oid\030\007 \003(\t\022\021\n\tdue_nanos\030\010 \001(\003\022\016\n\006object\030\t" +
+      " \001(\t\"\034\n\nSlotQueued\022\016\n\006ask_id\030\001 \001(\006\"\036\n\014Sl" +
+      "otDeclined\022\016\n\006ask_id\030\001 \001(\006\"E\n\010Endpoint\022\n" +
+      "\n\002id\030\001 \001(\t\022\017\n\007address\030\002 \001(\t\022\016\n\006region\030\003 " +
+      "\001(\t\022\014\n\004zone\030\004 \001(\t\"u\n\013SlotGranted\022\'\n\005grou" +
+      "p\030\001 \001(\0132\030.cowsliplatch.peer.Group\022\016\n\006ask" +
+      "_id\030\002 \001(\006\022-\n\010endpoint\030\003 \001(\0132\033.cowsliplat" +
+      "ch.peer.Endpoint\"\\\n\013SlotRefused\022\016\n\006ask_i" +
+      "d\030\001 \001(\006\022\013\n\003why\030\002 \001(\005\0220\n\nrate_bound\030\003 \001(\013" +
+      "2\034.cowsliplatch.peer.RateBound\"s\n\tRateBo" +
+      "und\022\022\n\nper_second\030\001 \001(\001\022\031\n\021limited_endpo" +
+      "ints\030\002 \001(\005\022\021\n\tage_nanos\030\003 \001(\003\022\r\n\005share\030\004" +
+      " \001(\001\022\025\n\rroom_in_nanos\030\005 \001(\003\"E\n\nSlotCance" +
+      "l\022\'\n\005group\030\001 \001(\0132\030.cowsliplatch.peer.Gro" +
+      "up\022\016\n\006ask_id\030\002 \001(\006\"\210\001\n\013SlotRelease\022\'\n\005gr" +
+      "oup\030\001 \001(\0132\030.cowsliplatch.peer.Group\022\016\n\006a" +
+      "sk_id\030\002 \001(\006\022\017\n\007outcome\030\003 \001(\005\022/\n\005limit\030\004 " +
+      "\001(\0132 .cowsliplatch.peer.EndpointLimit\"Z\n" +
+      "\rEndpointLimit\022\023\n\013endpoint_id\030\001 \001(\t\022\r\n\005n" +
+      "amed\030\002 \001(\010\022\022\n\nper_second\030\003 \001(\001\022\021\n\tage_na" +
+      "nos\030\004 \001(\003\"k\n\016EndpointLimits\022\'\n\005group\030\001 \001" +
+      "(\0132\030.cowsliplatch.peer.Group\0220\n\006limits\030\002" +
+      " \003(\0132 .cowsliplatch.peer.EndpointLimit\"8" +
+      "\n\rHoldingsQuery\022\'\n\005group\030\001 \001(\0132\030.cowslip" +
+      "latch.peer.Group\"<\n\007Holding\022\016\n\006ask_id\030\001 " +
+      "\001(\006\022\023\n\013endpoint_id\030\002 \001(\t\022\014\n\004rank\030\003 \001(\005\"\223" +
+      "\001\n\010Holdings\022\'\n\005group\030\001 \001(\0132\030.cowsliplatc" +
+      "h.peer.Group\022,\n\010holdings\030\002 \003(\0132\032.cowslip" +
+      "latch.peer.Holding\0220\n\006limits\030\003 \003(\0132 .cow" +
+      "sliplatch.peer.EndpointLimit\"\035\n\014TablesWa" +
+      "nted\022\r\n\005after\030\001 \001(\003\" \n\rTablesChanges\022\017\n\007" +
+      "changes\030\001 \003(\t\"0\n\013TablesWhole\022\017\n\007version\030" +
+      "\001 \001(\003\022\020\n\010document\030\002 \001(\t\"\234\001\n\tKeyRecord\022\013\n" +
+      "\003key\030\001 \001(\t\022\023\n\013fingerprint\030\002 \001(\t\022\016\n\006minut" +
+      "e\030\003 \001(\003\022+\n\006answer\030\004 \001(\0132\031.cowsliplatch.p" +
+      "eer.AnswerH\000\022\021\n\007not_run\030\005 \001(\tH\000\022\021\n\007unkno" +
+      "wn\030\006 \001(\tH\000B\n\n\010recorded\"7\n\006Answer\022\016\n\006stat" +
+      "us\030\001 \001(\005\022\017\n\007headers\030\002 \003(\t\022\014\n\004body\030\003 \001(\014\"" +
+      "~\n\014KeysHandOver\022\016\n\006domain\030\001 \001(\t\022\016\n\006secre" +
+      "t\030\002 \001(\014\022\021\n\tage_nanos\030\003 \001(\003\022-\n\007records\030\004 " +
+      "\003(\0132\034.cowsliplatch.peer.KeyRecord\022\014\n\004las" +
+      "t\030\005 \001(\010\"\033\n\tKeysTaken\022\016\n\006domain\030\001 \001(\t\"H\n\010" +
+      "StoreRow\022\013\n\003key\030\001 \001(\t\022\017\n\007version\030\002 \001(\003\022\r" +
+      "\n\005value\030\003 \001(\014\022\017\n\007removed\030\004 \001(\010\"\200\001\n\014Store" +
+      "Changes\022\r\n\005table\030\001 \001(\t\022\r\n\005after\030\002 \001(\003\022\017\n" +
+      "\007version\030\003 \001(\003\022)\n\004rows\030\004 \003(\0132\033.cowslipla" +
+      "tch.peer.StoreRow\022\026\n\016store_returned\030\005 \001(" +
+      "\010B\033\n\025org.cowsliplatch.wireH\001P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -279,7 +307,7 @@
     internal_static_cowsliplatch_peer_Heartbeat_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cowsliplatch_peer_Heartbeat_descriptor,
-        new java.lang.String[] { "Member", "Loads", });
+        new java.lang.String[] { "Member", "Loads", "ChangedLimits", });
     internal_static_cowsliplatch_peer_HeartbeatAck_descriptor =
       getDescriptor().getMessageType(4);
     internal_static_cowsliplatch_peer_HeartbeatAck_fieldAccessorTable = new
@@ -333,87 +361,105 @@
     internal_static_cowsliplatch_peer_SlotRefused_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cowsliplatch_peer_SlotRefused_descriptor,
-        new java.lang.String[] { "AskId", "Why", });
-    internal_static_cowsliplatch_peer_SlotCancel_descriptor =
+        new java.lang.String[] { "AskId", "Why", "RateBound", });
+    internal_static_cowsliplatch_peer_RateBound_descriptor =
       getDescriptor().getMessageType(13);
+    internal_static_cowsliplatch_peer_RateBound_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_cowsliplatch_peer_RateBound_descriptor,
+        new java.lang.String[] { "PerSecond", "LimitedEndpoints", "AgeNanos", "Share", "RoomInNanos", });
+    internal_static_cowsliplatch_peer_SlotCancel_descriptor =
+      getDescriptor().getMessageType(14);
     internal_static_cowsliplatch_peer_SlotCancel_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cowsliplatch_peer_SlotCancel_descriptor,
         new java.lang.String[] { "Group", "AskId", });
     internal_static_cowsliplatch_peer_SlotRelease_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(15);
     internal_static_cowsliplatch_peer_SlotRelease_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cowsliplatch_peer_SlotRelease_descriptor,
-        new java.lang.String[] { "Group", "AskId", "Outcome", });
+        new java.lang.String[] { "Group", "AskId", "Outcome", "Limit", });
+    internal_static_cowsliplatch_peer_EndpointLimit_descriptor =
+      getDescriptor().getMessageType(16);
+    internal_static_cowsliplatch_peer_EndpointLimit_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_cowsliplatch_peer_EndpointLimit_descriptor,
+        new java.lang.String[] { "EndpointId", "Named", "PerSecond", "AgeNanos", });
+    internal_static_cowsliplatch_peer_EndpointLimits_descriptor =
+      getDescriptor().getMessageType(17);
+    internal_static_cowsliplatch_peer_EndpointLimits_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_cowsliplatch_peer_EndpointLimits_descriptor,
+        new java.lang.String[] { "Group", "Limits", });
     internal_static_cowsliplatch_peer_HoldingsQuery_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(18);
     internal_static_cowsliplatch_peer_HoldingsQuery_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cowsliplatch_peer_HoldingsQuery_descriptor,
         new java.lang.String[] { "Group", });
     internal_static_cowsliplatch_peer_Holding_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(19);
     internal_static_cowsliplatch_peer_Holding_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cowsliplatch_peer_Holding_descriptor,
         new java.lang.String[] { "AskId", "EndpointId", "Rank", });
     internal_static_cowsliplatch_peer_Holdings_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(20);
     internal_static_cowsliplatch_peer_Holdings_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cowsliplatch_peer_Holdings_descriptor,
-        new java.lang.String[] { "Group", "Holdings", });
+        new java.lang.String[] { "Group", "Holdings", "Limits", });
     internal_static_cowsliplatch_peer_TablesWanted_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(21);
     internal_static_cowsliplatch_peer_TablesWanted_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cowsliplatch_peer_TablesWanted_descriptor,
         new java.lang.String[] { "After", });
     internal_static_cowsliplatch_peer_TablesChanges_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(22);
     internal_static_cowsliplatch_peer_TablesChanges_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cowsliplatch_peer_TablesChanges_descriptor,
         new java.lang.String[] { "Changes", });
     internal_static_cowsliplatch_peer_TablesWhole_descriptor =
-      getDescriptor().getMessageType(20);
+      getDescriptor().getMessageType(23);
     internal_static_cowsliplatch_peer_TablesWhole_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cowsliplatch_peer_TablesWhole_descriptor,
         new java.lang.String[] { "Version", "Document", });
     internal_static_cowsliplatch_peer_KeyRecord_descriptor =
-      getDescriptor().getMessageType(21);
+      getDescriptor().getMessageType(24);
     internal_static_cowsliplatch_peer_KeyRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cowsliplatch_peer_KeyRecord_descriptor,
         new java.lang.String[] { "Key", "Fingerprint", "Minute", "Answer", "NotRun", "Unknown", "Recorded", });
     internal_static_cowsliplatch_peer_Answer_descriptor =
-      getDescriptor().getMessageType(22);
+      getDescriptor().getMessageType(25);
     internal_static_cowsliplatch_peer_Answer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cowsliplatch_peer_Answer_descriptor,
         new java.lang.String[] { "Status", "Headers", "Body", });
     internal_static_cowsliplatch_peer_KeysHandOver_descriptor =
-      getDescriptor().getMessageType(23);
+      getDescriptor().getMessageType(26);
     internal_static_cowsliplatch_peer_KeysHandOver_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cowsliplatch_peer_KeysHandOver_descriptor,
         new java.lang.String[] { "Domain", "Secret", "AgeNanos", "Records", "Last", });
     internal_static_cowsliplatch_peer_KeysTaken_descriptor =
-      getDescriptor().getMessageType(24);
+      getDescriptor().getMessageType(27);
     internal_static_cowsliplatch_peer_KeysTaken_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cowsliplatch_peer_KeysTaken_descriptor,
         new java.lang.String[] { "Domain", });
     internal_static_cowsliplatch_peer_StoreRow_descriptor =
-      getDescriptor().getMessageType(25);
+      getDescriptor().getMessageType(28);
     internal_static_cowsliplatch_peer_StoreRow_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cowsliplatch_peer_StoreRow_descriptor,
         new java.lang.String[] { "Key", "Version", "Value", "Removed", });
     internal_static_cowsliplatch_peer_StoreChanges_descriptor =
-      getDescriptor().getMessageType(26);
+      getDescriptor().getMessageType(29);
     internal_static_cowsliplatch_peer_StoreChanges_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cowsliplatch_peer_StoreChanges_descriptor,
--- a/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/SlotRefused.java
+++ b/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/SlotRefused.java
@@ -48,6 +48,7 @@
             org.cowsliplatch.wire.SlotRefused.class, org.cowsliplatch.wire.SlotRefused.Builder.class);
   }
 
+  private int bitField0_;
   public static final int ASK_ID_FIELD_NUMBER = 1;
   private long askId_ = 0L;
   /**
@@ -70,6 +71,44 @@
     return why_;
   }
 
+  public static final int RATE_BOUND_FIELD_NUMBER = 3;
+  private org.cowsliplatch.wire.RateBound rateBound_;
+  /**
+   * <pre>
+   * Set if the rate limits of the endpoints are the reason; why is then TOO_LATE, which older builds know.
+   * </pre>
+   *
+   * <code>.cowsliplatch.peer.RateBound rate_bound = 3;</code>
+   * @return Whether the rateBound field is set.
+   */
+  @java.lang.Override
+  public boolean hasRateBound() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * Set if the rate limits of the endpoints are the reason; why is then TOO_LATE, which older builds know.
+   * </pre>
+   *
+   * <code>.cowsliplatch.peer.RateBound rate_bound = 3;</code>
+   * @return The rateBound.
+   */
+  @java.lang.Override
+  public org.cowsliplatch.wire.RateBound getRateBound() {
+    return rateBound_ == null ? org.cowsliplatch.wire.RateBound.getDefaultInstance() : rateBound_;
+  }
+  /**
+   * <pre>
+   * Set if the rate limits of the endpoints are the reason; why is then TOO_LATE, which older builds know.
+   * </pre>
+   *
+   * <code>.cowsliplatch.peer.RateBound rate_bound = 3;</code>
+   */
+  @java.lang.Override
+  public org.cowsliplatch.wire.RateBoundOrBuilder getRateBoundOrBuilder() {
+    return rateBound_ == null ? org.cowsliplatch.wire.RateBound.getDefaultInstance() : rateBound_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -90,6 +129,9 @@
     if (why_ != 0) {
       output.writeInt32(2, why_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeMessage(3, getRateBound());
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -102,6 +144,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt32Size(2, why_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(3, getRateBound());
+    }
     return size;
   }
   @java.lang.Override
@@ -130,6 +176,11 @@
         != other.getAskId()) return false;
     if (getWhy()
         != other.getWhy()) return false;
+    if (hasRateBound() != other.hasRateBound()) return false;
+    if (hasRateBound()) {
+      if (!getRateBound()
+          .equals(other.getRateBound())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -146,6 +197,10 @@
         getAskId());
     hash = (37 * hash) + WHY_FIELD_NUMBER;
     hash = (53 * hash) + getWhy();
+    if (hasRateBound()) {
+      hash = (37 * hash) + RATE_BOUND_FIELD_NUMBER;
+      hash = (53 * hash) + getRateBound().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -265,13 +320,19 @@
 
     // Construct using org.cowsliplatch.wire.SlotRefused.newBuilder()
     private Builder() {
-
+      maybeForceBuilderInitialization();
     }
 
     private Builder(
         com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessage
+              .alwaysUseFieldBuilders) {
+        internalGetRateBoundFieldBuilder();
+      }
     }
     @java.lang.Override
     public Builder clear() {
@@ -279,6 +340,11 @@
       bitField0_ = 0;
       askId_ = 0L;
       why_ = 0;
+      rateBound_ = null;
+      if (rateBoundBuilder_ != null) {
+        rateBoundBuilder_.dispose();
+        rateBoundBuilder_ = null;
+      }
       return this;
     }
 
@@ -318,6 +384,14 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.why_ = why_;
       }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.rateBound_ = rateBoundBuilder_ == null
+            ? rateBound_
+            : rateBoundBuilder_.build();
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -338,6 +412,9 @@
       if (other.getWhy() != 0) {
         setWhy(other.getWhy());
       }
+      if (other.hasRateBound()) {
+        mergeRateBound(other.getRateBound());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -372,6 +449,13 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 16
+            case 26: {
+              input.readMessage(
+                  internalGetRateBoundFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 26
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -453,6 +537,161 @@
       return this;
     }
 
+    private org.cowsliplatch.wire.RateBound rateBound_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cowsliplatch.wire.RateBound, org.cowsliplatch.wire.RateBound.Builder, org.cowsliplatch.wire.RateBoundOrBuilder> rateBoundBuilder_;
+    /**
+     * <pre>
+     * Set if the rate limits of the endpoints are the reason; why is then TOO_LATE, which older builds know.
+     * </pre>
+     *
+     * <code>.cowsliplatch.peer.RateBound rate_bound = 3;</code>
+     * @return Whether the rateBound field is set.
+     */
+    public boolean hasRateBound() {
+      return ((bitField0_ & 0x00000004) != 0);
+    }
+    /**
+     * <pre>
+     * Set if the rate limits of the endpoints are the reason; why is then TOO_LATE, which older builds know.
+     * </pre>
+     *
+     * <code>.cowsliplatch.peer.RateBound rate_bound = 3;</code>
+     * @return The rateBound.
+     */
+    public org.cowsliplatch.wire.RateBound getRateBound() {
+      if (rateBoundBuilder_ == null) {
+        return rateBound_ == null ? org.cowsliplatch.wire.RateBound.getDefaultInstance() : rateBound_;
+      } else {
+        return rateBoundBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * Set if the rate limits of the endpoints are the reason; why is then TOO_LATE, which older builds know.
+     * </pre>
+     *
+     * <code>.cowsliplatch.peer.RateBound rate_bound = 3;</code>
+     */
+    public Builder setRateBound(org.cowsliplatch.wire.RateBound value) {
+      if (rateBoundBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        rateBound_ = value;
+      } else {
+        rateBoundBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Set if the rate limits of the endpoints are the reason; why is then TOO_LATE, which older builds know.
+     * </pre>
+     *
+     * <code>.cowsliplatch.peer.RateBound rate_bound = 3;</code>
+     */
+    public Builder setRateBound(
+        org.cowsliplatch.wire.RateBound.Builder builderForValue) {
+      if (rateBoundBuilder_ == null) {
+        rateBound_ = builderForValue.build();
+      } else {
+        rateBoundBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Set if the rate limits of the endpoints are the reason; why is then TOO_LATE, which older builds know.
+     * </pre>
+     *
+     * <code>.cowsliplatch.peer.RateBound rate_bound = 3;</code>
+     */
+    public Builder mergeRateBound(org.cowsliplatch.wire.RateBound value) {
+      if (rateBoundBuilder_ == null) {
+        if (((bitField0_ & 0x00000004) != 0) &&
+          rateBound_ != null &&
+          rateBound_ != org.cowsliplatch.wire.RateBound.getDefaultInstance()) {
+          getRateBoundBuilder().mergeFrom(value);
+        } else {
+          rateBound_ = value;
+        }
+      } else {
+        rateBoundBuilder_.mergeFrom(value);
+      }
+      if (rateBound_ != null) {
+        bitField0_ |= 0x00000004;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Set if the rate limits of the endpoints are the reason; why is then TOO_LATE, which older builds know.
+     * </pre>
+     *
+     * <code>.cowsliplatch.peer.RateBound rate_bound = 3;</code>
+     */
+    public Builder clearRateBound() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      rateBound_ = null;
+      if (rateBoundBuilder_ != null) {
+        rateBoundBuilder_.dispose();
+        rateBoundBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Set if the rate limits of the endpoints are the reason; why is then TOO_LATE, which older builds know.
+     * </pre>
+     *
+     * <code>.cowsliplatch.peer.RateBound rate_bound = 3;</code>
+     */
+    public org.cowsliplatch.wire.RateBound.Builder getRateBoundBuilder() {
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return internalGetRateBoundFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * Set if the rate limits of the endpoints are the reason; why is then TOO_LATE, which older builds know.
+     * </pre>
+     *
+     * <code>.cowsliplatch.peer.RateBound rate_bound = 3;</code>
+     */
+    public org.cowsliplatch.wire.RateBoundOrBuilder getRateBoundOrBuilder() {
+      if (rateBoundBuilder_ != null) {
+        return rateBoundBuilder_.getMessageOrBuilder();
+      } else {
+        return rateBound_ == null ?
+            org.cowsliplatch.wire.RateBound.getDefaultInstance() : rateBound_;
+      }
+    }
+    /**
+     * <pre>
+     * Set if the rate limits of the endpoints are the reason; why is then TOO_LATE, which older builds know.
+     * </pre>
+     *
+     * <code>.cowsliplatch.peer.RateBound rate_bound = 3;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cowsliplatch.wire.RateBound, org.cowsliplatch.wire.RateBound.Builder, org.cowsliplatch.wire.RateBoundOrBuilder> 
+        internalGetRateBoundFieldBuilder() {
+      if (rateBoundBuilder_ == null) {
+        rateBoundBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.cowsliplatch.wire.RateBound, org.cowsliplatch.wire.RateBound.Builder, org.cowsliplatch.wire.RateBoundOrBuilder>(
+                getRateBound(),
+                getParentForChildren(),
+                isClean());
+        rateBound_ = null;
+      }
+      return rateBoundBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:cowsliplatch.peer.SlotRefused)
   }
 
--- a/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/SlotRefusedOrBuilder.java
+++ b/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/SlotRefusedOrBuilder.java
@@ -21,4 +21,31 @@
    * @return The why.
    */
   int getWhy();
+
+  /**
+   * <pre>
+   * Set if the rate limits of the endpoints are the reason; why is then TOO_LATE, which older builds know.
+   * </pre>
+   *
+   * <code>.cowsliplatch.peer.RateBound rate_bound = 3;</code>
+   * @return Whether the rateBound field is set.
+   */
+  boolean hasRateBound();
+  /**
+   * <pre>
+   * Set if the rate limits of the endpoints are the reason; why is then TOO_LATE, which older builds know.
+   * </pre>
+   *
+   * <code>.cowsliplatch.peer.RateBound rate_bound = 3;</code>
+   * @return The rateBound.
+   */
+  org.cowsliplatch.wire.RateBound getRateBound();
+  /**
+   * <pre>
+   * Set if the rate limits of the endpoints are the reason; why is then TOO_LATE, which older builds know.
+   * </pre>
+   *
+   * <code>.cowsliplatch.peer.RateBound rate_bound = 3;</code>
+   */
+  org.cowsliplatch.wire.RateBoundOrBuilder getRateBoundOrBuilder();
 }
--- a/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/SlotRelease.java
+++ b/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/SlotRelease.java
@@ -97,6 +97,44 @@
     return outcome_;
   }
 
+  public static final int LIMIT_FIELD_NUMBER = 4;
+  private org.cowsliplatch.wire.EndpointLimit limit_;
+  /**
+   * <pre>
+   * Left out if there was no response, or its limit is unreadable.
+   * </pre>
+   *
+   * <code>.cowsliplatch.peer.EndpointLimit limit = 4;</code>
+   * @return Whether the limit field is set.
+   */
+  @java.lang.Override
+  public boolean hasLimit() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <pre>
+   * Left out if there was no response, or its limit is unreadable.
+   * </pre>
+   *
+   * <code>.cowsliplatch.peer.EndpointLimit limit = 4;</code>
+   * @return The limit.
+   */
+  @java.lang.Override
+  public org.cowsliplatch.wire.EndpointLimit getLimit() {
+    return limit_ == null ? org.cowsliplatch.wire.EndpointLimit.getDefaultInstance() : limit_;
+  }
+  /**
+   * <pre>
+   * Left out if there was no response, or its limit is unreadable.
+   * </pre>
+   *
+   * <code>.cowsliplatch.peer.EndpointLimit limit = 4;</code>
+   */
+  @java.lang.Override
+  public org.cowsliplatch.wire.EndpointLimitOrBuilder getLimitOrBuilder() {
+    return limit_ == null ? org.cowsliplatch.wire.EndpointLimit.getDefaultInstance() : limit_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -120,6 +158,9 @@
     if (outcome_ != 0) {
       output.writeInt32(3, outcome_);
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      output.writeMessage(4, getLimit());
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -136,6 +177,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt32Size(3, outcome_);
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(4, getLimit());
+    }
     return size;
   }
   @java.lang.Override
@@ -169,6 +214,11 @@
         != other.getAskId()) return false;
     if (getOutcome()
         != other.getOutcome()) return false;
+    if (hasLimit() != other.hasLimit()) return false;
+    if (hasLimit()) {
+      if (!getLimit()
+          .equals(other.getLimit())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -189,6 +239,10 @@
         getAskId());
     hash = (37 * hash) + OUTCOME_FIELD_NUMBER;
     hash = (53 * hash) + getOutcome();
+    if (hasLimit()) {
+      hash = (37 * hash) + LIMIT_FIELD_NUMBER;
+      hash = (53 * hash) + getLimit().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -320,6 +374,7 @@
       if (com.google.protobuf.GeneratedMessage
               .alwaysUseFieldBuilders) {
         internalGetGroupFieldBuilder();
+        internalGetLimitFieldBuilder();
       }
     }
     @java.lang.Override
@@ -333,6 +388,11 @@
       }
       askId_ = 0L;
       outcome_ = 0;
+      limit_ = null;
+      if (limitBuilder_ != null) {
+        limitBuilder_.dispose();
+        limitBuilder_ = null;
+      }
       return this;
     }
 
@@ -379,6 +439,12 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.outcome_ = outcome_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.limit_ = limitBuilder_ == null
+            ? limit_
+            : limitBuilder_.build();
+        to_bitField0_ |= 0x00000002;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -403,6 +469,9 @@
       if (other.getOutcome() != 0) {
         setOutcome(other.getOutcome());
       }
+      if (other.hasLimit()) {
+        mergeLimit(other.getLimit());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -444,6 +513,13 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 34: {
+              input.readMessage(
+                  internalGetLimitFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 34
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -644,6 +720,161 @@
       return this;
     }
 
+    private org.cowsliplatch.wire.EndpointLimit limit_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cowsliplatch.wire.EndpointLimit, org.cowsliplatch.wire.EndpointLimit.Builder, org.cowsliplatch.wire.EndpointLimitOrBuilder> limitBuilder_;
+    /**
+     * <pre>
+     * Left out if there was no response, or its limit is unreadable.
+     * </pre>
+     *
+     * <code>.cowsliplatch.peer.EndpointLimit limit = 4;</code>
+     * @return Whether the limit field is set.
+     */
+    public boolean hasLimit() {
+      return ((bitField0_ & 0x00000008) != 0);
+    }
+    /**
+     * <pre>
+     * Left out if there was no response, or its limit is unreadable.
+     * </pre>
+     *
+     * <code>.cowsliplatch.peer.EndpointLimit limit = 4;</code>
+     * @return The limit.
+     */
+    public org.cowsliplatch.wire.EndpointLimit getLimit() {
+      if (limitBuilder_ == null) {
+        return limit_ == null ? org.cowsliplatch.wire.EndpointLimit.getDefaultInstance() : limit_;
+      } else {
+        return limitBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * Left out if there was no response, or its limit is unreadable.
+     * </pre>
+     *
+     * <code>.cowsliplatch.peer.EndpointLimit limit = 4;</code>
+     */
+    public Builder setLimit(org.cowsliplatch.wire.EndpointLimit value) {
+      if (limitBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        limit_ = value;
+      } else {
+        limitBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Left out if there was no response, or its limit is unreadable.
+     * </pre>
+     *
+     * <code>.cowsliplatch.peer.EndpointLimit limit = 4;</code>
+     */
+    public Builder setLimit(
+        org.cowsliplatch.wire.EndpointLimit.Builder builderForValue) {
+      if (limitBuilder_ == null) {
+        limit_ = builderForValue.build();
+      } else {
+        limitBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Left out if there was no response, or its limit is unreadable.
+     * </pre>
+     *
+     * <code>.cowsliplatch.peer.EndpointLimit limit = 4;</code>
+     */
+    public Builder mergeLimit(org.cowsliplatch.wire.EndpointLimit value) {
+      if (limitBuilder_ == null) {
+        if (((bitField0_ & 0x00000008) != 0) &&
+          limit_ != null &&
+          limit_ != org.cowsliplatch.wire.EndpointLimit.getDefaultInstance()) {
+          getLimitBuilder().mergeFrom(value);
+        } else {
+          limit_ = value;
+        }
+      } else {
+        limitBuilder_.mergeFrom(value);
+      }
+      if (limit_ != null) {
+        bitField0_ |= 0x00000008;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Left out if there was no response, or its limit is unreadable.
+     * </pre>
+     *
+     * <code>.cowsliplatch.peer.EndpointLimit limit = 4;</code>
+     */
+    public Builder clearLimit() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      limit_ = null;
+      if (limitBuilder_ != null) {
+        limitBuilder_.dispose();
+        limitBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Left out if there was no response, or its limit is unreadable.
+     * </pre>
+     *
+     * <code>.cowsliplatch.peer.EndpointLimit limit = 4;</code>
+     */
+    public org.cowsliplatch.wire.EndpointLimit.Builder getLimitBuilder() {
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return internalGetLimitFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * Left out if there was no response, or its limit is unreadable.
+     * </pre>
+     *
+     * <code>.cowsliplatch.peer.EndpointLimit limit = 4;</code>
+     */
+    public org.cowsliplatch.wire.EndpointLimitOrBuilder getLimitOrBuilder() {
+      if (limitBuilder_ != null) {
+        return limitBuilder_.getMessageOrBuilder();
+      } else {
+        return limit_ == null ?
+            org.cowsliplatch.wire.EndpointLimit.getDefaultInstance() : limit_;
+      }
+    }
+    /**
+     * <pre>
+     * Left out if there was no response, or its limit is unreadable.
+     * </pre>
+     *
+     * <code>.cowsliplatch.peer.EndpointLimit limit = 4;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cowsliplatch.wire.EndpointLimit, org.cowsliplatch.wire.EndpointLimit.Builder, org.cowsliplatch.wire.EndpointLimitOrBuilder> 
+        internalGetLimitFieldBuilder() {
+      if (limitBuilder_ == null) {
+        limitBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.cowsliplatch.wire.EndpointLimit, org.cowsliplatch.wire.EndpointLimit.Builder, org.cowsliplatch.wire.EndpointLimitOrBuilder>(
+                getLimit(),
+                getParentForChildren(),
+                isClean());
+        limit_ = null;
+      }
+      return limitBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:cowsliplatch.peer.SlotRelease)
   }
 
--- a/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/SlotReleaseOrBuilder.java
+++ b/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/SlotReleaseOrBuilder.java
@@ -36,4 +36,31 @@
    * @return The outcome.
    */
   int getOutcome();
+
+  /**
+   * <pre>
+   * Left out if there was no response, or its limit is unreadable.
+   * </pre>
+   *
+   * <code>.cowsliplatch.peer.EndpointLimit limit = 4;</code>
+   * @return Whether the limit field is set.
+   */
+  boolean hasLimit();
+  /**
+   * <pre>
+   * Left out if there was no response, or its limit is unreadable.
+   * </pre>
+   *
+   * <code>.cowsliplatch.peer.EndpointLimit limit = 4;</code>
+   * @return The limit.
+   */
+  org.cowsliplatch.wire.EndpointLimit getLimit();
+  /**
+   * <pre>
+   * Left out if there was no response, or its limit is unreadable.
+   * </pre>
+   *
+   * <code>.cowsliplatch.peer.EndpointLimit limit = 4;</code>
+   */
+  org.cowsliplatch.wire.EndpointLimitOrBuilder getLimitOrBuilder();
 }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/EndpointLimits.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/EndpointLimits.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.cowsliplatch.internal.util.Ticker;
 import org.jspecify.annotations.Nullable;
 
@@ -51,6 +52,7 @@
     private final Ticker ticker;
     private final Listener listener;
     private final Map<String, Limit> limits = new ConcurrentHashMap<>();
+    private final AtomicInteger revision = new AtomicInteger();
 
     /** Creates an instance without limits. */
     public EndpointLimits(Ticker ticker, Listener listener) {
@@ -81,6 +83,31 @@
         };
     }
 
+    /**
+     * Records what another entry instance knows; returns whether the limit changed.
+     *
+     * @param endpointId id of the endpoint
+     * @param notice limit that the other instance knows
+     * @param namedNanos time in ns at which the endpoint last named it
+     * @param source the other entry instance
+     */
+    public synchronized boolean learn(String endpointId, LimitNotice notice, long namedNanos, String source) {
+        Limit known = limits.get(endpointId);
+        if (known != null && known.namedNanos() - namedNanos > 0) {
+            return false;
+        }
+        return switch (notice.kind()) {
+            case UNKNOWN -> false;
+            case ABSENT -> end(endpointId, source);
+            case NAMED -> put(endpointId, new Limit(notice.perSecond(), namedNanos), source);
+        };
+    }
+
+    /** Returns a number that changes with each change of a limit. */
+    public int revision() {
+        return revision.get();
+    }
+
     /** Returns the limit of an endpoint, or null if it has none. */
     public @Nullable Limit of(String endpointId) {
         return limits.get(endpointId);
@@ -104,6 +131,7 @@
         if (previous != null && previous.perSecond() == limit.perSecond()) {
             return false;
         }
+        revision.incrementAndGet();
         listener.limitNamed(endpointId, limit.perSecond(), source);
         return true;
     }
@@ -112,6 +140,7 @@
         if (limits.remove(endpointId) == null) {
             return false;
         }
+        revision.incrementAndGet();
         listener.limitEnded(endpointId, source);
         return true;
     }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/EndpointSet.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/EndpointSet.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.random.RandomGenerator;
 import org.cowsliplatch.internal.place.AffinityMap;
 import org.cowsliplatch.internal.util.Rendezvous;
@@ -28,23 +29,37 @@
     private static final double WIDESPREAD_FAILURE_SHARE = 0.25;
 
     private static final int ZONE_PICK_TRIES = 4;
+    private static final double NANOS_PER_SECOND = 1e9;
 
     private final RandomGenerator random;
     private final int slots;
     private final EndpointSlots.WarmUp warmUp;
+    private final Function<String, RatePacer> pacers;
     private final AffinityMap affinity = new AffinityMap();
     private Map<String, String> affinityZones = Map.of();
+    private Map<String, Integer> affinityBounds = Map.of();
+    private double requestsPerObject;
     private final Map<String, EndpointSlots> byId = new HashMap<>();
     private final List<List<EndpointSlots>> buckets = new ArrayList<>();
     private final List<EndpointSlots> inTransition = new ArrayList<>();
     private boolean initialized;
     private int free;
     private int total;
+    private double rateShare = 1;
 
-    EndpointSet(RandomGenerator random, int slots, EndpointSlots.WarmUp warmUp) {
+    /**
+     * Creates a set without endpoints.
+     *
+     * @param random source of randomness for the choice among equally loaded endpoints
+     * @param slots maximum number of slots of an endpoint
+     * @param warmUp limits during the warm-up of an endpoint
+     * @param pacers returns the pacer of an endpoint by its id
+     */
+    EndpointSet(RandomGenerator random, int slots, EndpointSlots.WarmUp warmUp, Function<String, RatePacer> pacers) {
         this.random = random;
         this.slots = slots;
         this.warmUp = warmUp;
+        this.pacers = pacers;
         for (int i = 0; i < slots; i++) {
             buckets.add(new ArrayList<>());
         }
@@ -56,8 +71,11 @@
         for (ListedEndpoint listing : listed) {
             String id = listing.endpoint().id();
             ids.add(id);
-            EndpointSlots endpoint =
-                    byId.computeIfAbsent(id, key -> new EndpointSlots(listing, slots, now, warmUpOfNew()));
+            EndpointSlots endpoint = byId.computeIfAbsent(id, key -> {
+                RatePacer pacer = pacers.apply(id);
+                pacer.refresh(rateShare);
+                return new EndpointSlots(listing, slots, now, warmUpOfNew(), pacer);
+            });
             endpoint.update(listing);
         }
         initialized = true;
@@ -76,11 +94,31 @@
             }
             updateBucket(endpoint, now);
         }
-        if (!usable.equals(affinityZones)) {
+        updateAffinity(usable);
+        recount(now);
+    }
+
+    /** Assigns the objects again if the endpoints, or the objects that their rate limits suffice for, have changed. */
+    private void updateAffinity(Map<String, String> usable) {
+        Map<String, Integer> bounds = new HashMap<>();
+        for (String id : usable.keySet()) {
+            EndpointSlots endpoint = byId.get(id);
+            if (endpoint != null && endpoint.pacer().isLimited() && requestsPerObject > 0) {
+                bounds.put(id, objectBound(id, endpoint.pacer().perSecond()));
+            }
+        }
+        if (!usable.equals(affinityZones) || !bounds.equals(affinityBounds)) {
             affinityZones = usable;
-            affinity.updateEndpoints(usable);
+            affinityBounds = bounds;
+            affinity.updateEndpoints(usable, bounds);
         }
-        recount(now);
+    }
+
+    /** Returns the number of objects that a rate suffices for; changes by one are ignored, since objects would move. */
+    private int objectBound(String id, double perSecond) {
+        int bound = (int) Math.min(AffinityMap.CACHED_OBJECTS, perSecond / requestsPerObject);
+        Integer present = affinityBounds.get(id);
+        return present != null && Math.abs(present - bound) <= 1 ? present : bound;
     }
 
     private EndpointSlots.WarmUp warmUpOfNew() {
@@ -130,7 +168,9 @@
             if (assigned == null || request.requirements().avoid().contains(id)) {
                 continue;
             }
-            mayBecomeFree |= assigned.outstanding() > 0 && isUsable(assigned, now);
+            mayBecomeFree |= assigned.outstanding() > 0
+                    && isUsable(assigned, now)
+                    && !assigned.pacer().isUsedUp();
             if (assigned.bucket >= 0 && (best == null || isNearer(assigned, best, request.zone()))) {
                 best = assigned;
             }
@@ -203,6 +243,67 @@
         return pick;
     }
 
+    /**
+     * Applies changed rate limits, or a changed share of them.
+     *
+     * @param share share of the limits that may be used here, from 0 to 1
+     * @param objectRequestsPerSecond requests per second with an affinity key, for all objects together
+     */
+    void refreshRates(double share, double objectRequestsPerSecond, long now) {
+        rateShare = share;
+        requestsPerObject = objectRequestsPerSecond / Math.max(1, affinity.objects());
+        for (EndpointSlots endpoint : byId.values()) {
+            boolean wasLimited = endpoint.pacer().isLimited();
+            endpoint.pacer().refresh(share);
+            if (wasLimited || endpoint.pacer().isLimited()) {
+                updateBucketAndFree(endpoint, now);
+            }
+        }
+        updateAffinity(affinityZones);
+    }
+
+    /** Returns whether a rate limit keeps a request from a slot that is free. */
+    boolean isRateBound(long now) {
+        for (EndpointSlots endpoint : byId.values()) {
+            if (endpoint.pacer().isUsedUp()
+                    && isUsable(endpoint, now)
+                    && endpoint.outstanding() < endpoint.capacity(now)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /**
+     * Returns the requests per ns that the endpoints in rotation complete at most.
+     *
+     * @param serviceNanos mean service time in ns
+     */
+    double requestsPerNano(double serviceNanos, long now) {
+        double sum = 0;
+        for (EndpointSlots endpoint : byId.values()) {
+            if (isUsable(endpoint, now)) {
+                sum += Math.min(
+                        endpoint.capacity(now) / serviceNanos, endpoint.pacer().perSecond() / NANOS_PER_SECOND);
+            }
+        }
+        return sum;
+    }
+
+    /** Returns the pacers of the endpoints in rotation that have a limit. */
+    List<RatePacer> limitedPacers(long now) {
+        return byId.values().stream()
+                .filter(endpoint -> isUsable(endpoint, now) && endpoint.pacer().isLimited())
+                .map(EndpointSlots::pacer)
+                .toList();
+    }
+
+    /** Occupies a slot for a request that is about to be sent, which counts toward the rate limit. */
+    void grant(EndpointSlots endpoint, long now) {
+        endpoint.pacer().spend();
+        occupy(endpoint, now);
+    }
+
     void occupy(EndpointSlots endpoint, long now) {
         endpoint.occupy(now);
         updateBucketAndFree(endpoint, now);
@@ -336,7 +437,7 @@
         for (EndpointSlots endpoint : byId.values()) {
             free += freeOf(endpoint);
             if (endpoint.isInRotation() && !endpoint.isEjected(now)) {
-                total += endpoint.allowed(now);
+                total += endpoint.capacity(now);
             }
         }
     }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/EndpointSlots.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/EndpointSlots.java
@@ -26,6 +26,7 @@
     private final int slots;
     private final long firstSeenNanos;
     private final WarmUp warmUp;
+    private final RatePacer pacer;
     private final RecentObjects recentObjects = new RecentObjects(AffinityMap.CACHED_OBJECTS);
     private final ArrayDeque<Long> coldGrantNanos = new ArrayDeque<>();
     private long coldUntilNanos = Instance.WARM;
@@ -58,13 +59,19 @@
      * @param buckets maximum number of slots of an endpoint of the pool
      * @param firstSeenNanos time in ns at which the endpoint was first listed
      * @param warmUp limits during its warm-up
+     * @param pacer paces its requests at the rate limit that it has named
      */
-    EndpointSlots(ListedEndpoint listed, int buckets, long firstSeenNanos, WarmUp warmUp) {
+    EndpointSlots(ListedEndpoint listed, int buckets, long firstSeenNanos, WarmUp warmUp, RatePacer pacer) {
         this.endpoint = listed.endpoint();
         this.buckets = buckets;
         this.slots = listed.slots() == 0 ? buckets : Math.min(buckets, listed.slots());
         this.firstSeenNanos = firstSeenNanos;
         this.warmUp = warmUp;
+        this.pacer = pacer;
+    }
+
+    RatePacer pacer() {
+        return pacer;
     }
 
     /** Updates the state of the endpoint from the instance list. */
@@ -123,8 +130,16 @@
         outstanding--;
     }
 
-    /** Returns how many slots may be used now: fewer during warm-up or after the endpoint shed a request. */
+    /** Returns how many slots may be used now: none while a rate limit is used up. */
     int allowed(long now) {
+        return pacer.isUsedUp() ? 0 : capacity(now);
+    }
+
+    /**
+     * Returns how many slots may be used, whatever the limit named by the endpoint: fewer during warm-up or after the
+     * endpoint shed a request.
+     */
+    int capacity(long now) {
         int allowed = slots;
         long rampNanos = warmUp.rampNanos();
         if (rampNanos > 0 && now - firstSeenNanos < rampNanos) {
@@ -165,7 +180,8 @@
         return now < shedUntilNanos
                 || now < ejectedUntilNanos
                 || now - firstSeenNanos < warmUp.rampNanos()
-                || isCold(now);
+                || isCold(now)
+                || pacer.isLimited();
     }
 
     /** Returns the moving average of failed uses, raised to a minimum after several consecutive failures. */
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/FallbackShare.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/FallbackShare.java
@@ -10,10 +10,13 @@
 
 /** The part of a group's slots that an entry instance uses by itself while the grantor is suspected to be down. */
 final class FallbackShare {
+    /** Part of a rate limit that the fallback shares of all holders may use while the grantor may still use all of it. */
+    private static final double RATE_SHARE = 0.4;
+
     private FallbackShare() {}
 
     /** Returns a local grantor with one slot for each endpoint. */
-    static SlotGrantor grantor(Pool pool, Ticker ticker, RandomGenerator random) {
+    static SlotGrantor grantor(Pool pool, Ticker ticker, RandomGenerator random, EndpointLimits limits) {
         Pool oneSlot = new Pool(
                 pool.name(),
                 pool.service(),
@@ -22,7 +25,21 @@
                 pool.ramp(),
                 pool.queueLimit(),
                 pool.coldPerSecond());
-        return new SlotGrantor(oneSlot, ticker, random);
+        return new SlotGrantor(oneSlot, ticker, random, limits);
+    }
+
+    /**
+     * Returns the share of the rate limits that one holder may use of its endpoints.
+     *
+     * @param endpoints number of endpoints that are divided
+     * @param holders holders among which they are divided; any other holder may use no endpoint that has a limit
+     * @param holder name of the holder
+     */
+    static double rateShare(int endpoints, Collection<String> holders, String holder) {
+        if (endpoints == 0 || !holders.contains(holder)) {
+            return 0;
+        }
+        return RATE_SHARE / Math.ceil((double) holders.size() / endpoints);
     }
 
     /**
--- /dev/null
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/RateShare.java
@@ -0,0 +1,57 @@
+package org.cowsliplatch.internal.limit;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.cowsliplatch.internal.util.Ticker;
+
+/**
+ * The share of the endpoints' rate limits that this entry instance may use as a grantor: the part of the entry instances
+ * known lately that it still reaches.
+ *
+ * <p>Groups of instances that are cut off from each other each have a grantor, and their shares add up to at most 1.
+ * Safe for use by several threads.
+ */
+final class RateShare {
+    /** Time in ns after which a missing entry instance is considered to have ended rather than to be cut off. */
+    private static final long ABSENCE_NANOS = 30_000_000_000L;
+
+    private final Ticker ticker;
+    private final Map<String, Long> lastSeenNanos = new HashMap<>();
+    private Set<String> reachable = Set.of();
+    private Set<String> staying = Set.of();
+
+    RateShare(Ticker ticker) {
+        this.ticker = ticker;
+    }
+
+    /**
+     * Updates the entry instances that are reached.
+     *
+     * @param members names of the live entry instances, this one included
+     * @param leaving names of those among them that announced their planned stop
+     */
+    synchronized void update(Set<String> members, Set<String> leaving) {
+        long now = ticker.nanos();
+        staying.forEach(name -> lastSeenNanos.put(name, now));
+        lastSeenNanos.keySet().removeAll(leaving);
+        Set<String> remaining = new HashSet<>(members);
+        remaining.removeAll(leaving);
+        staying = remaining;
+        reachable = Set.copyOf(members);
+    }
+
+    /** Returns the share, from 0 to 1. */
+    synchronized double current() {
+        long now = ticker.nanos();
+        lastSeenNanos.values().removeIf(seen -> now - seen > ABSENCE_NANOS);
+        int known = reachable.size();
+        for (String name : lastSeenNanos.keySet()) {
+            if (!reachable.contains(name)) {
+                known++;
+            }
+        }
+        return known == 0 ? 1 : (double) reachable.size() / known;
+    }
+}
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/Refusal.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/Refusal.java
@@ -11,7 +11,9 @@
     /** The link to the region that has endpoints has no bandwidth left. */
     LINK_FULL("the link to the region that could serve it is full"),
     /** The caller cancelled the request or disconnected. */
-    CANCELLED("the caller cancelled the request");
+    CANCELLED("the caller cancelled the request"),
+    /** The rate limits that the endpoints have named leave no room by the deadline. */
+    RATE_LIMITED("the backend servers limit their requests per second");
 
     private final String text;
 
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotBroker.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotBroker.java
@@ -1,11 +1,13 @@
 package org.cowsliplatch.internal.limit;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
@@ -63,6 +65,7 @@
         volatile boolean acknowledged;
         volatile @Nullable Endpoint granted;
         volatile long grantedNanos;
+        volatile LimitNotice notice = LimitNotice.UNKNOWN;
 
         LocalRequest(long id, GroupId group, SlotRequest.Requirements requirements, SlotCallback callback) {
             this.id = id;
@@ -95,15 +98,21 @@
         }
 
         @Override
-        public void limitNoticed(LimitNotice notice) {
-            limits.observe(endpoint().id(), notice, grantedNanos, self);
+        public void limitNoticed(LimitNotice newNotice) {
+            notice = newNotice;
+            limitSync.noticed(group, endpoint().id(), newNotice, grantedNanos, self);
         }
 
         @Override
         public void release(SlotOutcome outcome) {
             if (state.compareAndSet(RequestState.GRANTED, RequestState.DONE)) {
                 localRequests.remove(id);
-                returnSlot(grantor, group, id, outcome);
+                returnSlot(
+                        grantor,
+                        group,
+                        id,
+                        outcome,
+                        EndpointLimitSync.report(endpoint().id(), notice));
             }
         }
     }
@@ -135,6 +144,8 @@
     private final Set<String> suspected = ConcurrentHashMap.newKeySet();
     private final AtomicLong fallbacks = new AtomicLong();
     private final EndpointLimits limits;
+    private final EndpointLimitSync limitSync;
+    private final RateShare rateShare;
     private volatile SteeringView view = SteeringView.empty();
 
     /**
@@ -169,6 +180,8 @@
             EndpointLimits.Listener limitListener) {
         this.self = self;
         this.limits = new EndpointLimits(ticker, limitListener);
+        this.limitSync = new EndpointLimitSync(ticker, peers, limits);
+        this.rateShare = new RateShare(ticker);
         this.zone = zone;
         this.ticker = ticker;
         this.peers = peers;
@@ -198,15 +211,29 @@
         }
         fallbackShares.forEach((group, share) -> deliver(group, FALLBACK, updateFallbackShare(group, share)));
         suspected.retainAll(now);
-        limits.retain(listedEndpoints(newView));
+        rateShare.update(now, leavingNames(newView.members()));
+        limits.retain(listedIds(newView));
+        Set<String> joined = new HashSet<>(now);
+        joined.removeAll(before);
+        joined.remove(self);
+        for (GroupId group : hosted.keySet()) {
+            limitSync.send(group, limitSync.known(Groups.endpoints(newView, group)), joined);
+        }
     }
 
-    private static Set<String> listedEndpoints(SteeringView view) {
-        Set<String> ids = new HashSet<>();
-        for (GroupId group : Groups.all(view)) {
-            Groups.endpoints(view, group)
-                    .forEach(listed -> ids.add(listed.endpoint().id()));
+    private static Set<String> leavingNames(List<Member> members) {
+        Set<String> leaving = new HashSet<>();
+        for (Member member : members) {
+            if (member.leaving()) {
+                leaving.add(member.name());
+            }
         }
+        return leaving;
+    }
+
+    private static Set<String> listedIds(SteeringView view) {
+        Set<String> ids = new HashSet<>();
+        view.endpoints().instances().forEach(instance -> ids.add(instance.id()));
         return ids;
     }
 
@@ -222,31 +249,56 @@
         } else if (message instanceof PeerMessage.SlotGranted granted) {
             onGranted(from, granted.group(), granted.askId(), granted.endpoint());
         } else if (message instanceof PeerMessage.SlotRefused refused) {
-            onRefused(from, refused.askId(), refused.why());
+            onRefused(from, refused.askId(), refused.why(), refused.rateBound());
         } else if (message instanceof PeerMessage.SlotCancel cancel) {
             withHosted(cancel.group(), host -> host.grantor.cancel(from, cancel.askId()));
         } else if (message instanceof PeerMessage.SlotRelease release) {
-            withHosted(
-                    release.group(),
-                    host -> deliver(
-                            release.group(), self, host.grantor.release(from, release.askId(), release.outcome())));
+            onRelease(from, release);
         } else if (message instanceof PeerMessage.HoldingsQuery query) {
-            peers.send(from, new PeerMessage.Holdings(query.group(), holdings(query.group())));
+            peers.send(
+                    from,
+                    new PeerMessage.Holdings(
+                            query.group(),
+                            holdings(query.group()),
+                            limitSync.known(Groups.endpoints(view, query.group()))));
         } else if (message instanceof PeerMessage.Holdings holdings) {
             onHoldings(from, holdings);
+        } else if (message instanceof PeerMessage.LimitsChanged changed) {
+            limitSync.learn(from, changed.limits());
         }
     }
 
+    private void onRelease(String from, PeerMessage.SlotRelease release) {
+        withHosted(release.group(), host -> {
+            release.limit().ifPresent(limit -> {
+                OptionalLong granted = host.grantor.grantedNanos(from, release.askId());
+                Long grantedNanos = granted.isPresent() ? granted.getAsLong() : null;
+                limitSync.noticed(release.group(), limit.endpointId(), limit.notice(), grantedNanos, from);
+            });
+            deliver(release.group(), self, host.grantor.release(from, release.askId(), release.outcome()));
+        });
+    }
+
     /** Does time-driven work; to be called every few milliseconds. */
     public void tick() {
         long now = ticker.nanos();
+        double currentShare = rateShare.current();
         hosted.forEach((group, host) -> {
+            host.grantor.setRateShare(currentShare);
             endRecoveryIfDue(group, host, now);
             deliver(group, self, host.grantor.tick());
         });
         fallbackShares.forEach((group, share) -> deliver(group, FALLBACK, share.tick()));
         suspectSilentGrantors(now);
         refuseExpired(now);
+        limitSync.announce(hosted.keySet(), peerNames());
+    }
+
+    private List<String> peerNames() {
+        return view.members().stream()
+                .map(Member::name)
+                .filter(name -> !name.equals(self))
+                .toList();
     }
 
     /** Returns the load of the groups whose grantor is this entry instance. */
@@ -335,15 +387,17 @@
         if (pool == null) {
             return null;
         }
-        SlotGrantor share = FallbackShare.grantor(pool, ticker, nextRandom());
+        SlotGrantor share = FallbackShare.grantor(pool, ticker, nextRandom(), limits);
         updateFallbackShare(group, share);
         return share;
     }
 
     /** Updates the endpoints of a fallback share; leaving ones are divided too, so that the shares stay disjoint. */
     private List<SlotDecision> updateFallbackShare(GroupId group, SlotGrantor share) {
-        return share.updateEndpoints(
-                FallbackShare.partOf(Groups.endpoints(view, group), Groups.candidates(view, group), self));
+        List<ListedEndpoint> endpoints = Groups.endpoints(view, group);
+        Collection<String> candidates = Groups.candidates(view, group);
+        share.setRateShare(FallbackShare.rateShare(endpoints.size(), candidates, self));
+        return share.updateEndpoints(FallbackShare.partOf(endpoints, candidates, self));
     }
 
     /** Assigns a group to its grantor according to the view, and moves its queued requests there. */
@@ -388,7 +442,8 @@
         if (pool == null) {
             return;
         }
-        HostedGroup host = new HostedGroup(pool, new SlotGrantor(pool, ticker, nextRandom()));
+        HostedGroup host = new HostedGroup(pool, new SlotGrantor(pool, ticker, nextRandom(), limits));
+        host.grantor.setRateShare(rateShare.current());
         host.grantor.beginRecovery();
         host.recoveryDeadlineNanos = ticker.nanos() + RECOVERY_TIMEOUT_NANOS;
         deliver(group, self, host.grantor.updateEndpoints(Groups.endpoints(view, group)));
@@ -514,7 +569,7 @@
                 return;
             }
         }
-        returnSlot(from, group, requestId, SlotOutcome.UNUSED);
+        returnSlot(from, group, requestId, SlotOutcome.UNUSED, Optional.empty());
     }
 
     /**
@@ -531,7 +586,7 @@
 
     /** Returns a slot that must not be used, and requests another one. */
     private void rejectGrant(LocalRequest request, String grantor, Endpoint endpoint, SlotOutcome reasonToReject) {
-        returnSlot(grantor, request.group, request.id, reasonToReject);
+        returnSlot(grantor, request.group, request.id, reasonToReject, Optional.empty());
         if (request.rejectedGrants.incrementAndGet() >= MAX_REJECTED_GRANTS) {
             refuse(request, Refusal.NO_ENDPOINT);
             return;
@@ -540,10 +595,10 @@
         send(request);
     }
 
-    private void onRefused(String from, long requestId, Refusal reason) {
+    private void onRefused(String from, long requestId, Refusal reason, Optional<RateBound> rateBound) {
         LocalRequest request = localRequests.get(requestId);
         if (request != null && request.grantor.equals(from)) {
-            refuse(request, reason);
+            refuse(request, reason, rateBound);
         }
     }
 
@@ -552,6 +607,7 @@
         if (host == null) {
             return;
         }
+        limitSync.learn(from, message.limits());
         for (PeerMessage.Holding holding : message.holdings()) {
             host.grantor.adopt(from, holding.askId(), holding.endpointId(), holding.rank());
         }
@@ -573,18 +629,24 @@
                 }
             } else if (decision instanceof SlotDecision.Refused refused) {
                 if (request.holder().equals(self)) {
-                    onRefused(grantor, request.id(), refused.why());
+                    onRefused(grantor, request.id(), refused.why(), refused.rateBound());
                 } else {
-                    peers.send(request.holder(), new PeerMessage.SlotRefused(request.id(), refused.why()));
+                    peers.send(
+                            request.holder(),
+                            new PeerMessage.SlotRefused(request.id(), refused.why(), refused.rateBound()));
                 }
             }
         }
     }
 
     private void refuse(LocalRequest request, Refusal reason) {
+        refuse(request, reason, Optional.empty());
+    }
+
+    private void refuse(LocalRequest request, Refusal reason, Optional<RateBound> rateBound) {
         if (request.state.compareAndSet(RequestState.WAITING, RequestState.DONE)) {
             localRequests.remove(request.id);
-            request.callback.refused(reason);
+            rateBound.ifPresentOrElse(request.callback::refusedByRate, () -> request.callback.refused(reason));
         }
     }
 
@@ -603,7 +665,12 @@
         }
     }
 
-    private void returnSlot(String grantor, GroupId group, long requestId, SlotOutcome outcome) {
+    private void returnSlot(
+            String grantor,
+            GroupId group,
+            long requestId,
+            SlotOutcome outcome,
+            Optional<PeerMessage.EndpointLimit> limit) {
         if (grantor.equals(FALLBACK)) {
             SlotGrantor share = fallbackShares.get(group);
             if (share != null) {
@@ -612,7 +679,7 @@
         } else if (grantor.equals(self)) {
             withHosted(group, host -> deliver(group, self, host.grantor.release(self, requestId, outcome)));
         } else {
-            peers.send(grantor, new PeerMessage.SlotRelease(group, requestId, outcome));
+            peers.send(grantor, new PeerMessage.SlotRelease(group, requestId, outcome, limit));
         }
     }
 
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotDecision.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotDecision.java
@@ -1,5 +1,7 @@
 package org.cowsliplatch.internal.limit;
 
+import java.util.Optional;
+
 /** A decision of a grantor on one request for a slot. */
 public sealed interface SlotDecision {
     /** Returns the request that was decided. */
@@ -18,6 +20,12 @@
      *
      * @param request the request
      * @param why reason
+     * @param rateBound rate that the limits of the endpoints allow, if they are the reason
      */
-    record Refused(SlotRequest request, Refusal why) implements SlotDecision {}
+    record Refused(SlotRequest request, Refusal why, Optional<RateBound> rateBound) implements SlotDecision {
+        /** Creates a refusal for a reason other than the limits of the endpoints. */
+        public Refused(SlotRequest request, Refusal why) {
+            this(request, why, Optional.empty());
+        }
+    }
 }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotGrantor.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotGrantor.java
@@ -7,6 +7,8 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.random.RandomGenerator;
 import org.cowsliplatch.internal.util.Ticker;
 import org.cowsliplatch.table.Pool;
@@ -21,6 +23,7 @@
  */
 public final class SlotGrantor {
     private static final double DEMAND_TIME_CONSTANT_NANOS = 1e9;
+    private static final double NANOS_PER_SECOND = 1e9;
     /** Time that a slot stays occupied after its request was abandoned but may still be running. */
     private static final long ABANDONED_HOLD_NANOS = 1_000_000_000L;
     /** Share of the slots that may be reserved for urgent requests while others are queued. */
@@ -76,6 +79,11 @@
     private final int[] inFlight = new int[Rank.count()];
     private final DecayingMean[] occupancy = new DecayingMean[Rank.count()];
     private final int queueLimit;
+    private final EndpointLimits limits;
+    private final ReturnSchedule returns = new ReturnSchedule();
+    private final EventRate objectRequests;
+    private int limitRevision;
+    private double rateShare = 1;
     private boolean recovering;
 
     /**
@@ -86,9 +94,23 @@
      * @param random source of randomness for the choice among equally loaded endpoints
      */
     public SlotGrantor(Pool pool, Ticker ticker, RandomGenerator random) {
+        this(pool, ticker, random, new EndpointLimits(ticker, EndpointLimits.NO_LISTENER));
+    }
+
+    /**
+     * Creates a grantor without endpoints that keeps rate limits.
+     *
+     * @param pool row of the pool table
+     * @param ticker clock
+     * @param random source of randomness for the choice among equally loaded endpoints
+     * @param limits rate limits of the endpoints
+     */
+    public SlotGrantor(Pool pool, Ticker ticker, RandomGenerator random, EndpointLimits limits) {
         this.ticker = ticker;
+        this.limits = limits;
+        this.objectRequests = new EventRate(ticker.nanos());
         EndpointSlots.WarmUp warmUp = new EndpointSlots.WarmUp(pool.ramp().toNanos(), pool.coldPerSecond());
-        this.endpoints = new EndpointSet(random, pool.slots(), warmUp);
+        this.endpoints = new EndpointSet(random, pool.slots(), warmUp, id -> new RatePacer(id, limits, ticker));
         this.queueLimit = pool.queueLimit();
         for (int i = 0; i < occupancy.length; i++) {
             occupancy[i] = new DecayingMean(DEMAND_TIME_CONSTANT_NANOS, ticker.nanos());
@@ -109,9 +131,31 @@
         return decisions;
     }
 
+    /**
+     * Sets the share of the endpoints' rate limits that this grantor may use.
+     *
+     * @param share share, from 0 to 1; 1 if no other grantor grants slots of the same endpoints
+     */
+    public synchronized void setRateShare(double share) {
+        if (share != rateShare) {
+            rateShare = share;
+            refreshRates(ticker.nanos());
+        }
+    }
+
+    /** Returns the time in ns at which a request was granted its slot, or empty if it has none. */
+    public synchronized OptionalLong grantedNanos(String holder, long requestId) {
+        Grant grant = grants.get(new GrantKey(holder, requestId));
+        return grant == null ? OptionalLong.empty() : OptionalLong.of(grant.sinceNanos());
+    }
+
     /** Decides a request or queues it; returns the resulting decisions, possibly on other requests too. */
     public synchronized List<SlotDecision> request(SlotRequest request) {
         long now = ticker.nanos();
+        applyLimits(now);
+        if (!request.requirements().object().isEmpty()) {
+            objectRequests.add(now);
+        }
         List<SlotDecision> decisions = new ArrayList<>(1);
         discardEarlier(request, now);
         if (isOverdue(request, now)) {
@@ -126,7 +170,7 @@
         }
         Refusal refusal = admission(request, now, decisions);
         if (refusal != null) {
-            decisions.add(new SlotDecision.Refused(request, refusal));
+            decisions.add(refused(request, refusal, now));
             return decisions;
         }
         queues.add(request);
@@ -155,13 +199,44 @@
         if (endpoints.isEmpty()) {
             decisions.add(new SlotDecision.Refused(request, Refusal.NO_ENDPOINT));
         } else if (overdue.size() >= queueLimit) {
-            decisions.add(new SlotDecision.Refused(request, Refusal.QUEUE_FULL));
+            decisions.add(refused(request, Refusal.QUEUE_FULL, now));
+        } else if (endpoints.isRateBound(now) && endpoints.free() <= endpoints.total() * OVERDUE_RESERVE_SHARE) {
+            // Tokens go to requests in time first; while they run short, none comes free for an overdue one.
+            decisions.add(refused(request, Refusal.TOO_LATE, now));
         } else {
             overdue.add(request);
             dispatch(now, decisions);
         }
     }
 
+    /** Refuses a request, because of the rate limits if they are what keeps it from a slot. */
+    private SlotDecision.Refused refused(SlotRequest request, Refusal reason, long now) {
+        if (reason == Refusal.NO_ENDPOINT || !endpoints.isRateBound(now)) {
+            return new SlotDecision.Refused(request, reason);
+        }
+        List<RatePacer> limited = endpoints.limitedPacers(now);
+        long ageNanos = 0;
+        for (RatePacer pacer : limited) {
+            ageNanos = Math.max(ageNanos, now - pacer.namedNanos());
+        }
+        double perNano = endpoints.requestsPerNano(serviceTime.mean(), now);
+        long roomInNanos = returns.next(now, queues.size() / perNano, 1 / perNano);
+        RateBound bound = new RateBound(perNano * NANOS_PER_SECOND, limited.size(), ageNanos, rateShare, roomInNanos);
+        return new SlotDecision.Refused(request, Refusal.RATE_LIMITED, Optional.of(bound));
+    }
+
+    private void applyLimits(long now) {
+        int revision = limits.revision();
+        if (revision != limitRevision) {
+            limitRevision = revision;
+            refreshRates(now);
+        }
+    }
+
+    private void refreshRates(long now) {
+        endpoints.refreshRates(rateShare, objectRequests.perSecond(now), now);
+    }
+
     /** Removes a queued request; returns whether it was queued. */
     public synchronized boolean cancel(String holder, long requestId) {
         return queues.remove(holder, requestId) || overdue.remove(holder, requestId);
@@ -170,6 +245,7 @@
     /** Releases the slot of a request; has no effect if the request is unknown. */
     public synchronized List<SlotDecision> release(String holder, long requestId, SlotOutcome outcome) {
         long now = ticker.nanos();
+        applyLimits(now);
         List<SlotDecision> decisions = new ArrayList<>(1);
         Grant grant = grants.remove(new GrantKey(holder, requestId));
         if (grant == null) {
@@ -244,7 +320,9 @@
         EndpointSlots endpoint = endpoints.find(endpointId);
         GrantKey key = new GrantKey(holder, requestId);
         if (endpoint != null && !grants.containsKey(key)) {
-            occupy(key, endpoint, rank, CacheState.UNKNOWN, ticker.nanos());
+            long now = ticker.nanos();
+            endpoints.occupy(endpoint, now);
+            recordGrant(key, endpoint, rank, CacheState.UNKNOWN, now);
         }
     }
 
@@ -252,6 +330,7 @@
     public synchronized List<SlotDecision> tick() {
         long now = ticker.nanos();
         List<SlotDecision> decisions = new ArrayList<>();
+        applyLimits(now);
         while (!abandonedRuns.isEmpty() && abandonedRuns.peekFirst().untilNanos() <= now) {
             AbandonedRun ended = abandonedRuns.removeFirst();
             free(ended.endpoint(), ended.rank(), now);
@@ -285,7 +364,7 @@
         if (endpoints.isEmpty()) {
             return Refusal.NO_ENDPOINT;
         }
-        if (queues.size() >= queueLimit && !evictLessUrgent(request.rank(), decisions)) {
+        if (queues.size() >= queueLimit && !evictLessUrgent(request.rank(), now, decisions)) {
             return Refusal.QUEUE_FULL;
         }
         double waitNanos = expectedWaitNanos(request.rank(), now);
@@ -293,12 +372,12 @@
     }
 
     /** Refuses the newest queued request of the least urgent rank below this one; returns whether there was any. */
-    private boolean evictLessUrgent(Rank rank, List<SlotDecision> decisions) {
+    private boolean evictLessUrgent(Rank rank, long now, List<SlotDecision> decisions) {
         for (int i = Rank.count() - 1; i > rank.ordinal(); i--) {
             SlotRequest newest = queues.peekLast(Rank.at(i));
             if (newest != null) {
                 queues.remove(newest);
-                decisions.add(new SlotDecision.Refused(newest, Refusal.QUEUE_FULL));
+                decisions.add(refused(newest, Refusal.QUEUE_FULL, now));
                 return true;
             }
         }
@@ -319,7 +398,9 @@
         double share = Math.max(rank.floorShare(), 1 - moreUrgentSlots / total);
         int sameRank = queues.size(rank) + 1;
         double ownTurns = share <= 0 ? ahead + 1 : sameRank / share;
-        return ownTurns * serviceTime.mean() / total;
+        return endpoints.limitedPacers(now).isEmpty()
+                ? ownTurns * serviceTime.mean() / total
+                : ownTurns / endpoints.requestsPerNano(serviceTime.mean(), now);
     }
 
     /** Returns the time in ns after which a grant would be too late for the request. */
@@ -353,7 +434,7 @@
         while (oldest != null && now > latestStart(oldest)) {
             queues.remove(oldest);
             if (recovering || !oldest.hasTargetOrAffinity() || !isIdle() || !tryGrant(oldest, now, decisions)) {
-                decisions.add(new SlotDecision.Refused(oldest, Refusal.TOO_LATE));
+                decisions.add(refused(oldest, Refusal.TOO_LATE, now));
             }
             oldest = queues.peek(rank);
         }
@@ -363,7 +444,7 @@
         SlotRequest oldest = overdue.peek(rank);
         while (oldest != null && now - oldest.sinceNanos() > MAX_OVERDUE_WAIT_NANOS) {
             overdue.remove(oldest);
-            decisions.add(new SlotDecision.Refused(oldest, Refusal.TOO_LATE));
+            decisions.add(refused(oldest, Refusal.TOO_LATE, now));
             oldest = overdue.peek(rank);
         }
     }
@@ -414,7 +495,8 @@
             return false;
         }
         CacheState cacheState = recordAccess(endpoint, request.requirements().object());
-        occupy(new GrantKey(request.holder(), request.id()), endpoint, request.rank(), cacheState, now);
+        endpoints.grant(endpoint, now);
+        recordGrant(new GrantKey(request.holder(), request.id()), endpoint, request.rank(), cacheState, now);
         decisions.add(new SlotDecision.Granted(request, endpoint.endpoint()));
         return true;
     }
@@ -475,8 +557,7 @@
         return (int) (endpoints.total() * MAX_RESERVED_SHARE);
     }
 
-    private void occupy(GrantKey key, EndpointSlots endpoint, Rank rank, CacheState cacheState, long now) {
-        endpoints.occupy(endpoint, now);
+    private void recordGrant(GrantKey key, EndpointSlots endpoint, Rank rank, CacheState cacheState, long now) {
         updateInFlight(rank, 1, now);
         grants.put(key, new Grant(endpoint, rank, now, cacheState));
     }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotSource.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotSource.java
@@ -9,6 +9,11 @@
 
         /** Called when no slot was granted; no part of the request was sent. */
         void refused(Refusal why);
+
+        /** Called instead of {@link #refused} when the rate limits of the endpoints are the reason. */
+        default void refusedByRate(RateBound bound) {
+            refused(Refusal.RATE_LIMITED);
+        }
     }
 
     /** A request for a slot that is not decided yet. */
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/peer/PeerCodec.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/peer/PeerCodec.java
@@ -6,6 +6,8 @@
 import org.cowsliplatch.internal.limit.Endpoint;
 import org.cowsliplatch.internal.limit.GroupId;
 import org.cowsliplatch.internal.limit.GroupLoad;
+import org.cowsliplatch.internal.limit.LimitNotice;
+import org.cowsliplatch.internal.limit.RateBound;
 import org.cowsliplatch.internal.limit.Refusal;
 import org.cowsliplatch.internal.limit.SlotOutcome;
 import org.cowsliplatch.internal.limit.SlotRequest;
@@ -50,18 +52,18 @@
                     .setAskId(m.askId())
                     .setEndpoint(endpoint(m.endpoint())));
         } else if (message instanceof PeerMessage.SlotRefused m) {
-            frame.setSlotRefused(org.cowsliplatch.wire.SlotRefused.newBuilder()
-                    .setAskId(m.askId())
-                    .setWhy(m.why().ordinal()));
+            frame.setSlotRefused(encodeRefused(m));
         } else if (message instanceof PeerMessage.SlotCancel m) {
             frame.setSlotCancel(org.cowsliplatch.wire.SlotCancel.newBuilder()
                     .setGroup(group(m.group()))
                     .setAskId(m.askId()));
         } else if (message instanceof PeerMessage.SlotRelease m) {
-            frame.setSlotRelease(org.cowsliplatch.wire.SlotRelease.newBuilder()
+            org.cowsliplatch.wire.SlotRelease.Builder release = org.cowsliplatch.wire.SlotRelease.newBuilder()
                     .setGroup(group(m.group()))
                     .setAskId(m.askId())
-                    .setOutcome(m.outcome().ordinal()));
+                    .setOutcome(m.outcome().ordinal());
+            m.limit().ifPresent(limit -> release.setLimit(encodeLimit(limit)));
+            frame.setSlotRelease(release);
         } else {
             encodeInfrequent(message, frame);
         }
@@ -90,9 +92,76 @@
             frame.setKeysTaken(org.cowsliplatch.wire.KeysTaken.newBuilder().setDomain(m.domain()));
         } else if (message instanceof PeerMessage.StoreChanges m) {
             frame.setStoreChanges(encodeStoreChanges(m));
+        } else if (message instanceof PeerMessage.LimitsChanged m) {
+            frame.setHeartbeat(org.cowsliplatch.wire.Heartbeat.newBuilder()
+                    .setChangedLimits(org.cowsliplatch.wire.EndpointLimits.newBuilder()
+                            .setGroup(group(m.group()))
+                            .addAllLimits(m.limits().stream()
+                                    .map(PeerCodec::encodeLimit)
+                                    .toList())));
         }
     }
 
+    private static org.cowsliplatch.wire.SlotRefused encodeRefused(PeerMessage.SlotRefused message) {
+        org.cowsliplatch.wire.SlotRefused.Builder refused = org.cowsliplatch.wire.SlotRefused.newBuilder()
+                .setAskId(message.askId())
+                .setWhy((message.rateBound().isPresent() ? Refusal.TOO_LATE : message.why()).ordinal());
+        message.rateBound()
+                .ifPresent(bound -> refused.setRateBound(org.cowsliplatch.wire.RateBound.newBuilder()
+                        .setPerSecond(bound.perSecond())
+                        .setLimitedEndpoints(bound.limitedEndpoints())
+                        .setAgeNanos(bound.ageNanos())
+                        .setShare(bound.share())
+                        .setRoomInNanos(bound.roomInNanos())));
+        return refused.build();
+    }
+
+    private static PeerMessage decodeRefused(org.cowsliplatch.wire.SlotRefused refused) {
+        if (!refused.hasRateBound()) {
+            return new PeerMessage.SlotRefused(refused.getAskId(), valueAt(Refusal.values(), refused.getWhy()));
+        }
+        org.cowsliplatch.wire.RateBound bound = refused.getRateBound();
+        return new PeerMessage.SlotRefused(
+                refused.getAskId(),
+                Refusal.RATE_LIMITED,
+                Optional.of(new RateBound(
+                        bound.getPerSecond(),
+                        bound.getLimitedEndpoints(),
+                        bound.getAgeNanos(),
+                        bound.getShare(),
+                        bound.getRoomInNanos())));
+    }
+
+    private static org.cowsliplatch.wire.EndpointLimit encodeLimit(PeerMessage.EndpointLimit limit) {
+        return org.cowsliplatch.wire.EndpointLimit.newBuilder()
+                .setEndpointId(limit.endpointId())
+                .setNamed(limit.notice().kind() == LimitNotice.Kind.NAMED)
+                .setPerSecond(limit.notice().perSecond())
+                .setAgeNanos(limit.ageNanos())
+                .build();
+    }
+
+    private static PeerMessage.EndpointLimit decodeLimit(org.cowsliplatch.wire.EndpointLimit limit) {
+        return new PeerMessage.EndpointLimit(
+                limit.getEndpointId(),
+                limit.getNamed() ? LimitNotice.named(limit.getPerSecond()) : LimitNotice.ABSENT,
+                limit.getAgeNanos());
+    }
+
+    private static PeerMessage decodeChangedLimits(org.cowsliplatch.wire.Heartbeat heartbeat)
+            throws MalformedFrameException {
+        if (!heartbeat.hasChangedLimits()) {
+            throw new MalformedFrameException("heartbeat without a message", null);
+        }
+        return new PeerMessage.LimitsChanged(
+                group(heartbeat.getChangedLimits().getGroup()),
+                decodeLimits(heartbeat.getChangedLimits().getLimitsList()));
+    }
+
+    private static List<PeerMessage.EndpointLimit> decodeLimits(List<org.cowsliplatch.wire.EndpointLimit> limits) {
+        return limits.stream().map(PeerCodec::decodeLimit).toList();
+    }
+
     private static org.cowsliplatch.wire.StoreChanges.Builder encodeStoreChanges(PeerMessage.StoreChanges message) {
         org.cowsliplatch.wire.StoreChanges.Builder changes = org.cowsliplatch.wire.StoreChanges.newBuilder()
                 .setTable(message.table())
@@ -146,10 +215,7 @@
                         group(frame.getSlotGranted().getGroup()),
                         frame.getSlotGranted().getAskId(),
                         endpoint(frame.getSlotGranted().getEndpoint()));
-            case SLOT_REFUSED ->
-                new PeerMessage.SlotRefused(
-                        frame.getSlotRefused().getAskId(),
-                        valueAt(Refusal.values(), frame.getSlotRefused().getWhy()));
+            case SLOT_REFUSED -> decodeRefused(frame.getSlotRefused());
             case SLOT_CANCEL ->
                 new PeerMessage.SlotCancel(
                         group(frame.getSlotCancel().getGroup()),
@@ -158,7 +224,10 @@
                 new PeerMessage.SlotRelease(
                         group(frame.getSlotRelease().getGroup()),
                         frame.getSlotRelease().getAskId(),
-                        valueAt(SlotOutcome.values(), frame.getSlotRelease().getOutcome()));
+                        valueAt(SlotOutcome.values(), frame.getSlotRelease().getOutcome()),
+                        frame.getSlotRelease().hasLimit()
+                                ? Optional.of(decodeLimit(frame.getSlotRelease().getLimit()))
+                                : Optional.empty());
             case HOLDINGS_QUERY ->
                 new PeerMessage.HoldingsQuery(group(frame.getHoldingsQuery().getGroup()));
             case HOLDINGS -> decodeHoldings(frame.getHoldings());
@@ -174,6 +243,7 @@
             case KEYS_HAND_OVER -> decodeHandOver(frame.getKeysHandOver());
             case KEYS_TAKEN -> new PeerMessage.KeysTaken(frame.getKeysTaken().getDomain());
             case STORE_CHANGES -> decodeStoreChanges(frame.getStoreChanges());
+            case HEARTBEAT -> decodeChangedLimits(frame.getHeartbeat());
             default -> throw new MalformedFrameException("unexpected frame " + frame.getKindCase(), null);
         };
     }
@@ -269,6 +339,7 @@
                     .setEndpointId(holding.endpointId())
                     .setRank(holding.rank().ordinal()));
         }
+        message.limits().forEach(limit -> holdings.addLimits(encodeLimit(limit)));
         return holdings.build();
     }
 
@@ -278,7 +349,8 @@
                 holdings.getHoldingsList().stream()
                         .map(holding -> new PeerMessage.Holding(
                                 holding.getAskId(), holding.getEndpointId(), valueAt(Rank.values(), holding.getRank())))
-                        .toList());
+                        .toList(),
+                decodeLimits(holdings.getLimitsList()));
     }
 
     private static org.cowsliplatch.wire.KeysHandOver encodeHandOver(PeerMessage.KeysHandOver message) {
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/peer/PeerMessage.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/peer/PeerMessage.java
@@ -1,9 +1,12 @@
 package org.cowsliplatch.internal.peer;
 
 import java.util.List;
+import java.util.Optional;
 import org.cowsliplatch.internal.limit.Endpoint;
 import org.cowsliplatch.internal.limit.GroupId;
 import org.cowsliplatch.internal.limit.GroupLoad;
+import org.cowsliplatch.internal.limit.LimitNotice;
+import org.cowsliplatch.internal.limit.RateBound;
 import org.cowsliplatch.internal.limit.Refusal;
 import org.cowsliplatch.internal.limit.SlotOutcome;
 import org.cowsliplatch.internal.limit.SlotRequest;
@@ -70,8 +73,14 @@
      *
      * @param askId id of the slot request
      * @param why reason
+     * @param rateBound rate that the limits of the endpoints allow, if they are the reason
      */
-    record SlotRefused(long askId, Refusal why) implements PeerMessage {}
+    record SlotRefused(long askId, Refusal why, Optional<RateBound> rateBound) implements PeerMessage {
+        /** Creates a refusal for a reason other than the limits of the endpoints. */
+        public SlotRefused(long askId, Refusal why) {
+            this(askId, why, Optional.empty());
+        }
+    }
 
     /**
      * The sender cancels its slot request.
@@ -87,8 +96,37 @@
      * @param group group of endpoints
      * @param askId id of the slot request
      * @param outcome how the use ended
+     * @param limit rate limit of the endpoint according to its response; empty if there was none
+     */
+    record SlotRelease(GroupId group, long askId, SlotOutcome outcome, Optional<EndpointLimit> limit)
+            implements PeerMessage {
+        /** Creates a release that tells nothing about a limit. */
+        public SlotRelease(GroupId group, long askId, SlotOutcome outcome) {
+            this(group, askId, outcome, Optional.empty());
+        }
+    }
+
+    /**
+     * What is known of the rate limit of one endpoint.
+     *
+     * @param endpointId id of the endpoint
+     * @param notice the limit, or that there is none
+     * @param ageNanos time in ns since the endpoint last named it
      */
-    record SlotRelease(GroupId group, long askId, SlotOutcome outcome) implements PeerMessage {}
+    record EndpointLimit(String endpointId, LimitNotice notice, long ageNanos) {}
+
+    /**
+     * Changed rate limits, sent by the grantor of a group to all entry instances.
+     *
+     * @param group group of endpoints
+     * @param limits limits that were named, changed or ended
+     */
+    record LimitsChanged(GroupId group, List<EndpointLimit> limits) implements PeerMessage {
+        /** Makes a defensive copy of the limits. */
+        public LimitsChanged {
+            limits = List.copyOf(limits);
+        }
+    }
 
     /**
      * A new grantor queries which slots of a group the receiver holds.
@@ -102,8 +140,14 @@
      *
      * @param group group of endpoints
      * @param holdings slots
+     * @param limits rate limits of the endpoints of the group that the sender knows
      */
-    record Holdings(GroupId group, List<Holding> holdings) implements PeerMessage {}
+    record Holdings(GroupId group, List<Holding> holdings, List<EndpointLimit> limits) implements PeerMessage {
+        /** Creates holdings without limits. */
+        public Holdings(GroupId group, List<Holding> holdings) {
+            this(group, holdings, List.of());
+        }
+    }
 
     /**
      * One slot in use.
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/peer/PeerTransport.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/peer/PeerTransport.java
@@ -283,6 +283,9 @@
                 throw new MalformedFrameException("expected Hello as the first frame of the connection", null);
             } else if (frame.hasHeartbeat()) {
                 onHeartbeat(context, frame.getHeartbeat());
+                if (frame.getHeartbeat().hasChangedLimits()) {
+                    listener.messageReceived(peerName, PeerCodec.decode(frame));
+                }
             } else {
                 listener.messageReceived(peerName, PeerCodec.decode(frame));
             }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/place/AffinityMap.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/place/AffinityMap.java
@@ -34,16 +34,20 @@
 
     private static final class Load {
         final String id;
+        /** Maximum number of objects, because the endpoint limits its requests or because of its cache. */
+        final int maxObjects;
+
         int objects;
 
-        Load(String id) {
+        Load(String id, int maxObjects) {
             this.id = id;
+            this.maxObjects = maxObjects;
         }
     }
 
     private final Map<String, List<String>> assignments = new LinkedHashMap<>();
     private final Map<String, List<Load>> zones = new TreeMap<>();
-    private int endpointCount;
+    private long totalMaxObjects;
     private int plannedObjects;
 
     /**
@@ -52,13 +56,31 @@
      * @param zoneOfId availability zone of each endpoint id
      */
     public void updateEndpoints(Map<String, String> zoneOfId) {
+        updateEndpoints(zoneOfId, Map.of());
+    }
+
+    /**
+     * Replaces the endpoints and reassigns all objects.
+     *
+     * @param zoneOfId availability zone of each endpoint id
+     * @param maxObjects maximum number of objects of the endpoints that can't take the requests for a full cache
+     */
+    public void updateEndpoints(Map<String, String> zoneOfId, Map<String, Integer> maxObjects) {
         zones.clear();
-        endpointCount = zoneOfId.size();
-        new TreeMap<>(zoneOfId).forEach((id, zone) -> zones.computeIfAbsent(zone, key -> new ArrayList<>())
-                .add(new Load(id)));
+        totalMaxObjects = 0;
+        new TreeMap<>(zoneOfId).forEach((id, zone) -> {
+            Load load = new Load(id, Math.min(CACHED_OBJECTS, maxObjects.getOrDefault(id, CACHED_OBJECTS)));
+            totalMaxObjects += load.maxObjects;
+            zones.computeIfAbsent(zone, key -> new ArrayList<>()).add(load);
+        });
         rebalance(List.copyOf(assignments.keySet()));
     }
 
+    /** Returns the number of objects that are assigned. */
+    public int objects() {
+        return assignments.size();
+    }
+
     /** Returns the ids of the endpoints assigned to an object, one in each zone as far as the caches suffice. */
     public List<String> endpointsFor(String object) {
         List<String> known = assignments.get(object);
@@ -89,7 +111,7 @@
     }
 
     private List<String> selectEndpoints(String object, int totalObjects) {
-        boolean everyZone = (long) totalObjects * zones.size() <= (long) endpointCount * CACHED_OBJECTS;
+        boolean everyZone = (long) totalObjects * zones.size() <= totalMaxObjects;
         if (everyZone) {
             List<String> chosen = new ArrayList<>();
             for (List<Load> loads : zones.values()) {
@@ -108,14 +130,19 @@
     private static void selectOne(String object, List<Load> loads, int totalObjects, List<String> chosen) {
         Map<String, Load> byId = new HashMap<>();
         loads.forEach(load -> byId.put(load.id, load));
-        int maxObjects = Math.max(CACHED_OBJECTS, totalObjects / Math.max(1, loads.size()) + MAX_EXCESS);
+        int equalShare = totalObjects / Math.max(1, loads.size()) + MAX_EXCESS;
         for (String id : Rendezvous.order(object, byId.keySet())) {
             Load load = byId.get(id);
-            if (load != null && (load.objects < maxObjects || totalObjects == Integer.MAX_VALUE)) {
+            if (load != null && (load.objects < maxObjects(load, equalShare) || totalObjects == Integer.MAX_VALUE)) {
                 load.objects++;
                 chosen.add(id);
                 return;
             }
         }
     }
+
+    /** Returns the bound of an endpoint: its cache, or an equal share if there are more objects than all caches hold. */
+    private static int maxObjects(Load load, int equalShare) {
+        return load.maxObjects < CACHED_OBJECTS ? load.maxObjects : Math.max(CACHED_OBJECTS, equalShare);
+    }
 }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Exchange.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Exchange.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.cowsliplatch.internal.limit.GroupId;
+import org.cowsliplatch.internal.limit.RateBound;
 import org.cowsliplatch.internal.limit.Refusal;
 import org.cowsliplatch.internal.limit.RetryBudget;
 import org.cowsliplatch.internal.limit.SlotOutcome;
@@ -219,6 +220,15 @@
                     refuse(reason);
                 }
             }
+
+            @Override
+            public void refusedByRate(RateBound bound) {
+                decisions.refusedByRate(region, bound, context.ticker().nanos() - queuedNanos);
+                Tracing.fail(queueSpan, bound.text());
+                if (!trySpillover(region, Refusal.RATE_LIMITED)) {
+                    refuseUntilRoom(bound);
+                }
+            }
         });
     }
 
@@ -324,12 +334,24 @@
         finish(unavailable(reason.text()));
     }
 
+    /** Refuses the request with the time after which the rate limits leave room for it. */
+    private void refuseUntilRoom(RateBound bound) {
+        context.metrics().refusal(route.rank(), Refusal.RATE_LIMITED.name());
+        if (anyAttemptMayHaveRun) {
+            finish(problemAfterAttempts("no further attempt could be made: " + bound.text()));
+            return;
+        }
+        Duration room = Duration.ofNanos(bound.roomInNanos());
+        Duration usual = context.policy().retryAfterPolicy().delay(route.name(), callerTimeoutMs);
+        finish(unavailable(bound.text(), room.compareTo(usual) > 0 ? room : usual));
+    }
+
     private Problem unavailable(String detail) {
-        return new Problem(
-                HttpStatus.SERVICE_UNAVAILABLE_503,
-                detail,
-                Outcome.NOT_RUN,
-                context.policy().retryAfterPolicy().delay(route.name(), callerTimeoutMs));
+        return unavailable(detail, context.policy().retryAfterPolicy().delay(route.name(), callerTimeoutMs));
+    }
+
+    private static Problem unavailable(String detail, Duration retryAfter) {
+        return new Problem(HttpStatus.SERVICE_UNAVAILABLE_503, detail, Outcome.NOT_RUN, retryAfter);
     }
 
     private void send(SlotSource.Lease lease) {
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/RequestDecisionLog.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/RequestDecisionLog.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.cowsliplatch.internal.limit.Endpoint;
+import org.cowsliplatch.internal.limit.RateBound;
 import org.cowsliplatch.internal.limit.Refusal;
 import org.cowsliplatch.internal.telemetry.DecisionLog;
 import org.jspecify.annotations.Nullable;
@@ -42,6 +43,16 @@
         steps.add(step);
     }
 
+    synchronized void refusedByRate(String region, RateBound bound, long waitedNanos) {
+        refused(region, Refusal.RATE_LIMITED, waitedNanos);
+        Map<String, Object> step = steps.get(steps.size() - 1);
+        step.put("perSecond", bound.perSecond());
+        step.put("limitedEndpoints", bound.limitedEndpoints());
+        step.put("limitAgeMs", TimeUnit.NANOSECONDS.toMillis(bound.ageNanos()));
+        step.put("rateShare", bound.share());
+        step.put("roomInMs", TimeUnit.NANOSECONDS.toMillis(bound.roomInNanos()));
+    }
+
     synchronized void attemptFailed(AttemptFailure failure) {
         if (!steps.isEmpty()) {
             Map<String, Object> step = steps.get(steps.size() - 1);
