Log and measure which life of the store an answer is of

Cause: no line of the logs tells whether an answer is from before or after the store returned from a copy, so a feed that was continued wrongly can't be told from a good one.

Change: the adapter reads the era of each answer; store-lost and store-regained carry it, store-restored says era and version before and after. The gauges cowsliplatch_store_era and cowsliplatch_configuration_age_seconds show it. No decision depends on it yet.

--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/DeployedEntry.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/DeployedEntry.java
@@ -68,6 +68,8 @@
     /** Longest time in ns that readiness waits until a peer is found or the store lists none. */
     private static final long MAX_JOIN_NANOS = 2_000_000_000L;
 
+    private static final double NANOS_PER_SECOND = 1e9;
+
     private final DeploymentSettings settings;
     private final PlatformFormat format;
     private final Ticker ticker = Ticker.system();
@@ -97,6 +99,7 @@
     private volatile boolean leaving;
     private volatile boolean wasReady;
     private volatile int maxMembers;
+    private volatile long tablesSinceNanos = startNanos;
 
     private DeployedEntry(
             DeploymentSettings settings, RowStore rows, PlatformFormat format, Consumer<String> logLines) {
@@ -145,6 +148,14 @@
                 "cowsliplatch_limited_endpoints",
                 "Endpoints that have named a rate limit, as far as known here",
                 broker::limitedEndpoints);
+        metrics.gauge(
+                "cowsliplatch_store_era",
+                "Life of the store, which rises when it returns from a copy",
+                store::storeEra);
+        metrics.gauge(
+                "cowsliplatch_configuration_age_seconds",
+                "Time since the configuration in force came into force here",
+                () -> (ticker.nanos() - tablesSinceNanos) / NANOS_PER_SECOND);
         metrics.gauge("cowsliplatch_ready", "1 if requests are served", () -> isReady() ? 1 : 0);
         metrics.gauge(
                 "cowsliplatch_peer_sent_bytes", "Bytes of frames sent to peers since the start", transport::sentBytes);
@@ -270,6 +281,7 @@
                 .with("digest", version.digest())
                 .write(DecisionLog.Weight.NOTABLE);
         metrics.tableVersion(version.number());
+        tablesSinceNanos = ticker.nanos();
         views.updateTables(version, acceptedAtMs);
         duties.announce();
     }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/StoreFollower.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/StoreFollower.java
@@ -134,6 +134,11 @@
         }
     }
 
+    /** Returns the highest era of the store that an answer has named, 0 before the first. */
+    long storeEra() {
+        return Math.max(operatorWatcher.era(), endpointWatcher.era());
+    }
+
     /** Returns the maximum length of a request body in bytes. */
     long bodyBytes() {
         return bodyBytes;
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/follow/StoreTableWatcher.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/follow/StoreTableWatcher.java
@@ -57,6 +57,7 @@
     private final PollDelay delay;
     private final Set<String> knownKeys = new HashSet<>();
     private long version = -1;
+    private volatile long era = RowStore.UNKNOWN_ERA;
     private boolean needsFullRead = true;
     /** Whether peers relay the changes, so that the store is not read directly. */
     private boolean relayed;
@@ -159,6 +160,7 @@
         long after = version;
         RowStore.Rows changes = store.follow(table, after, relay.isRelayed(table) ? Duration.ZERO : wait);
         storeAnswered();
+        noteEra(changes);
         apply(changes, isInRestoreGrace());
         relay.forward(new PeerMessage.StoreChanges(table, after, changes.rows(), version, isInRestoreGrace()));
         return !changes.rows().isEmpty();
@@ -168,6 +170,7 @@
     private boolean readAll() throws PlatformUnavailableException {
         RowStore.Rows rows = store.read(table);
         storeAnswered();
+        noteEra(rows);
         if (rows.version() < version) {
             throw new PlatformUnavailableException(
                     "the store",
@@ -205,6 +208,30 @@
         listener.batchCompleted();
     }
 
+    /** Returns the highest era of the store that an answer has named, or {@link RowStore#UNKNOWN_ERA}. */
+    public long era() {
+        return era;
+    }
+
+    /** Records the era of an answer, and logs when the store was restored from a copy. */
+    private void noteEra(RowStore.Rows answer) {
+        long before = era;
+        if (answer.era() <= before) {
+            return;
+        }
+        era = answer.era();
+        if (before != RowStore.UNKNOWN_ERA) {
+            decisions
+                    .line("store-restored")
+                    .with("table", table)
+                    .with("eraBefore", before)
+                    .with("era", era)
+                    .with("versionBefore", version)
+                    .with("version", answer.version())
+                    .write(DecisionLog.Weight.NOTABLE);
+        }
+    }
+
     private boolean isInRestoreGrace() {
         return storeRegainedNanos != Long.MIN_VALUE && ticker.nanos() - storeRegainedNanos < ROW_RESTORE_GRACE_NANOS;
     }
@@ -218,6 +245,7 @@
         decisions
                 .line("store-regained")
                 .with("table", table)
+                .with("era", era)
                 .with("version", version)
                 .write(DecisionLog.Weight.NOTABLE);
     }
@@ -231,6 +259,7 @@
         decisions
                 .line("store-lost")
                 .with("table", table)
+                .with("era", era)
                 .with("version", version)
                 .with("reason", e.text())
                 .write(DecisionLog.Weight.NOTABLE);
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/platform/RowStore.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/platform/RowStore.java
@@ -23,14 +23,24 @@
      *
      * @param rows all rows of a table, or those that changed
      * @param version version of the store in the snapshot
+     * @param era life of the store, which rises each time it is restored from a copy and its versions go back; or
+     *     {@link #UNKNOWN_ERA}
      */
-    record Rows(List<Row> rows, long version) {
+    record Rows(List<Row> rows, long version, long era) {
         /** Makes a defensive copy of the rows. */
         public Rows {
             rows = List.copyOf(rows);
         }
+
+        /** Creates rows of an unknown life of the store. */
+        public Rows(List<Row> rows, long version) {
+            this(rows, version, UNKNOWN_ERA);
+        }
     }
 
+    /** Era of an answer that does not say which life of the store it is of. */
+    long UNKNOWN_ERA = 0;
+
     /**
      * Returns all rows of a table.
      *
