Do not list a removed endpoint again from an old copy of its row

What callers and servers would see: a store that returns from a copy lists servers again that had left; requests go to a server that must get none, or to an address that may belong to another.

Cause: the registry passed over old descriptions only while it knew the endpoint, and forgot start and sequence number with the removal.

Fix: the last descriptions of removed endpoints are kept, 512 at most. A row that is not newer is passed over; a later sequence number or start lists the endpoint again. The new test of FollowingTest failed before.

--- a/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/FollowingTest.java
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/FollowingTest.java
@@ -321,4 +321,17 @@
         assertThat(registry.remove("e", false)).isTrue();
         assertThat(registry.instances()).isEmpty();
     }
+
+    @Test
+    void removedEndpointIsNotListedAgainByAnOldCopyOfItsRow() {
+        registry.update("e", row(100, 5, false));
+        registry.remove("e", false);
+
+        assertThat(registry.update("e", row(100, 4, false))).isFalse();
+        assertThat(registry.update("e", row(100, 5, false))).isFalse();
+        assertThat(registry.instances()).isEmpty();
+        assertThat(registry.update("e", row(100, 6, false))).isTrue();
+        registry.remove("e", false);
+        assertThat(registry.update("e", row(101, 1, false))).isTrue();
+    }
 }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/steer/EndpointRegistry.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/steer/EndpointRegistry.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -18,8 +19,8 @@
 /**
  * Registry of the known endpoints, built from the rows in which they describe themselves.
  *
- * <p>Descriptions may arrive late: one with an older start time or an older sequence number is ignored. A row that
- * disappeared during an outage of the store may reappear once the store is back, so its endpoint is kept for a grace
+ * <p>Descriptions may arrive late: one with an older start time or an older sequence number is ignored, also if the
+ * endpoint has been removed since, because a restored store lists it again as it was. A row that disappeared during an outage of the store may reappear once the store is back, so its endpoint is kept for a grace
  * period before it is removed. Thread-safe; guarded by its own monitor.
  */
 public final class EndpointRegistry {
@@ -53,6 +54,8 @@
     private final Map<String, Entry> entries = new HashMap<>();
     private final Set<String> unreadable = new HashSet<>();
     private final Set<String> removedIds = new LinkedHashSet<>();
+    /** Last descriptions of removed endpoints by name, oldest first. */
+    private final Map<String, EndpointRow.Description> removed = new LinkedHashMap<>();
 
     /**
      * Creates an empty registry.
@@ -77,6 +80,11 @@
         }
         EndpointRow.Description description = (EndpointRow.Description) row;
         unreadable.remove(name);
+        EndpointRow.Description last = removed.get(name);
+        if (last != null && !isOlder(last, description)) {
+            return false;
+        }
+        removed.remove(name);
         removedIds.remove(Endpoint.id(name, description.startTimeMs()));
         Entry known = entries.get(name);
         if (known != null) {
@@ -189,6 +197,10 @@
     private void delete(String name, String reason) {
         Entry deleted = entries.remove(name);
         if (deleted != null) {
+            removed.put(name, deleted.description);
+            if (removed.size() > MAX_REMOVED_IDS) {
+                removed.remove(removed.keySet().iterator().next());
+            }
             removedIds.add(deleted.instance.id());
             if (removedIds.size() > MAX_REMOVED_IDS) {
                 removedIds.remove(removedIds.iterator().next());
