Follow the store into the next era when it returns from a copy

What callers saw: after the store returned from a copy, configurations that operators wrote and the store confirmed were not in force for seconds; routes that had been added got 404, requests ran where an older version sent them.

Cause: a version of the store was taken for a position in its whole history. When versions go back, a read with a lower one was refused until the counter had passed the highest one seen, and a feed that was resumed at a version that had been given out again missed what was written below it. The class of fault is a counter that is compared across two lives of the one who counts.

Fix: a position is an era and a version, and only versions of one era are compared. An answer of a later era makes its reader read the whole table; one of an earlier era is ignored, unless all answers of 6 s are, when no late answer can explain it. Rows that are missing in the copy are kept for the time in which they are written again. Readers pass the era on; older builds send and read none, which counts as the known one.

--- a/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/PeerCodecTest.java
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/PeerCodecTest.java
@@ -59,7 +59,8 @@
                 new PeerMessage.TablesWhole(3, "{}"),
                 new PeerMessage.KeysTaken("d"),
                 // Arrays are compared by identity; rows with a value are tested below.
-                new PeerMessage.StoreChanges("t", 3, List.of(new RowStore.Row("k", 4, Optional.empty())), 5, true));
+                new PeerMessage.StoreChanges("t", 3, List.of(new RowStore.Row("k", 4, Optional.empty())), 5, true),
+                new PeerMessage.StoreChanges("t", 3, List.of(), 5, false, 2));
 
         for (PeerMessage message : messages) {
             assertThat(PeerCodec.decode(PeerCodec.encode(message))).isEqualTo(message);
--- a/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/Peer.java
+++ b/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/Peer.java
@@ -274,11 +274,12 @@
       "\003(\0132\034.cowsliplatch.peer.KeyRecord\022\014\n\004las" +
       "t\030\005 \001(\010\"\033\n\tKeysTaken\022\016\n\006domain\030\001 \001(\t\"H\n\010" +
       "StoreRow\022\013\n\003key\030\001 \001(\t\022\017\n\007version\030\002 \001(\003\022\r" +
-      "\n\005value\030\003 \001(\014\022\017\n\007removed\030\004 \001(\010\"\200\001\n\014Store" +
+      "\n\005value\030\003 \001(\014\022\017\n\007removed\030\004 \001(\010\"\215\001\n\014Store" +
       "Changes\022\r\n\005table\030\001 \001(\t\022\r\n\005after\030\002 \001(\003\022\017\n" +
       "\007version\030\003 \001(\003\022)\n\004rows\030\004 \003(\0132\033.cowslipla" +
       "tch.peer.StoreRow\022\026\n\016store_returned\030\005 \001(" +
-      "\010B\033\n\025org.cowsliplatch.wireH\001P\001b\006proto3"
+      "\010\022\013\n\003era\030\006 \001(\003B\033\n\025org.cowsliplatch.wireH" +
+      "\001P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -463,7 +464,7 @@
     internal_static_cowsliplatch_peer_StoreChanges_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cowsliplatch_peer_StoreChanges_descriptor,
-        new java.lang.String[] { "Table", "After", "Version", "Rows", "StoreReturned", });
+        new java.lang.String[] { "Table", "After", "Version", "Rows", "StoreReturned", "Era", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/StoreChanges.java
+++ b/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/StoreChanges.java
@@ -171,6 +171,21 @@
     return storeReturned_;
   }
 
+  public static final int ERA_FIELD_NUMBER = 6;
+  private long era_ = 0L;
+  /**
+   * <pre>
+   * Life of the store that the versions are of; 0 if unknown.
+   * </pre>
+   *
+   * <code>int64 era = 6;</code>
+   * @return The era.
+   */
+  @java.lang.Override
+  public long getEra() {
+    return era_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -200,6 +215,9 @@
     if (storeReturned_ != false) {
       output.writeBool(5, storeReturned_);
     }
+    if (era_ != 0L) {
+      output.writeInt64(6, era_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -228,6 +246,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(5, storeReturned_);
     }
+    if (era_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(6, era_);
+    }
     return size;
   }
   @java.lang.Override
@@ -262,6 +284,8 @@
         .equals(other.getRowsList())) return false;
     if (getStoreReturned()
         != other.getStoreReturned()) return false;
+    if (getEra()
+        != other.getEra()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -288,6 +312,9 @@
     hash = (37 * hash) + STORE_RETURNED_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getStoreReturned());
+    hash = (37 * hash) + ERA_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getEra());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -434,6 +461,7 @@
       }
       bitField0_ = (bitField0_ & ~0x00000008);
       storeReturned_ = false;
+      era_ = 0L;
       return this;
     }
 
@@ -492,6 +520,9 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.storeReturned_ = storeReturned_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.era_ = era_;
+      }
     }
 
     @java.lang.Override
@@ -546,6 +577,9 @@
       if (other.getStoreReturned() != false) {
         setStoreReturned(other.getStoreReturned());
       }
+      if (other.getEra() != 0L) {
+        setEra(other.getEra());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -603,6 +637,11 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 40
+            case 48: {
+              era_ = input.readInt64();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1034,6 +1073,50 @@
       return this;
     }
 
+    private long era_ ;
+    /**
+     * <pre>
+     * Life of the store that the versions are of; 0 if unknown.
+     * </pre>
+     *
+     * <code>int64 era = 6;</code>
+     * @return The era.
+     */
+    @java.lang.Override
+    public long getEra() {
+      return era_;
+    }
+    /**
+     * <pre>
+     * Life of the store that the versions are of; 0 if unknown.
+     * </pre>
+     *
+     * <code>int64 era = 6;</code>
+     * @param value The era to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEra(long value) {
+
+      era_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Life of the store that the versions are of; 0 if unknown.
+     * </pre>
+     *
+     * <code>int64 era = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEra() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      era_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cowsliplatch.peer.StoreChanges)
   }
 
--- a/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/StoreChangesOrBuilder.java
+++ b/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/StoreChangesOrBuilder.java
@@ -67,4 +67,14 @@
    * @return The storeReturned.
    */
   boolean getStoreReturned();
+
+  /**
+   * <pre>
+   * Life of the store that the versions are of; 0 if unknown.
+   * </pre>
+   *
+   * <code>int64 era = 6;</code>
+   * @return The era.
+   */
+  long getEra();
 }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/follow/StoreTableWatcher.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/follow/StoreTableWatcher.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.cowsliplatch.errors.HistoryLostException;
@@ -25,6 +26,14 @@
         /** Called when a row was read: it is new, has changed, or is unchanged in a full read. */
         void put(RowStore.Row row);
 
+        /**
+         * Called when a row that was known is missing because the store was restored from an older copy. The row is
+         * written again if it is still meant to be there.
+         */
+        default void lost(String key) {
+            removed(key, true);
+        }
+
         /**
          * Called when a row was removed.
          *
@@ -44,6 +53,8 @@
     private static final long INITIAL_BACKOFF_MS = 100;
     /** Maximum mean back-off in ms after failed reads, so that the store's return is noticed within about a second. */
     private static final long MAX_BACKOFF_MS = 800;
+    /** Time in ns after which no answer to an earlier call can still arrive. */
+    private static final long MAX_ANSWER_DELAY_NANOS = 6_000_000_000L;
     /** Time in ns after the store's return from an outage during which missing rows may reappear. */
     private static final long ROW_RESTORE_GRACE_NANOS = 2_000_000_000L;
 
@@ -56,9 +67,10 @@
     private final ChangeRelay relay;
     private final PollDelay delay;
     private final Set<String> knownKeys = new HashSet<>();
-    private long version = -1;
-    private volatile long era = RowStore.UNKNOWN_ERA;
+    private volatile StorePosition position = StorePosition.NONE;
     private boolean needsFullRead = true;
+    /** Time in ns of the first of the latest answers that were all older than the known position, or unset. */
+    private OptionalLong outdatedSinceNanos = OptionalLong.empty();
     /** Whether peers relay the changes, so that the store is not read directly. */
     private boolean relayed;
 
@@ -110,7 +122,7 @@
                     .line("store-followed")
                     .with("table", table)
                     .with("through", relayed ? "peers" : "store")
-                    .with("version", version)
+                    .with("version", position.version())
                     .write(DecisionLog.Weight.NOTABLE);
         }
         if (nowRelayed) {
@@ -132,7 +144,7 @@
             decisions
                     .line("store-history-lost")
                     .with("table", table)
-                    .with("after", version)
+                    .with("after", position.version())
                     .write(DecisionLog.Weight.NOTABLE);
             return 0;
         } catch (PlatformUnavailableException e) {
@@ -143,40 +155,57 @@
 
     /** Applies changes that a peer read; returns false without applying them if earlier changes were missed. */
     private boolean applyRelayed(PeerMessage.StoreChanges changes) {
-        if (changes.after() > version) {
+        StorePosition known = position;
+        if (known.isRestoredIn(changes.era())) {
+            needsFullRead = true;
+            return false;
+        }
+        if (known.resolve(changes.era()) < known.era()) {
+            return true;
+        }
+        if (changes.after() > known.version()) {
             return false;
         }
         storeAnswered();
-        List<RowStore.Row> newRows =
-                changes.rows().stream().filter(row -> row.version() > version).toList();
-        if (changes.version() > version) {
-            apply(new RowStore.Rows(newRows, changes.version()), changes.storeReturned());
+        List<RowStore.Row> newRows = changes.rows().stream()
+                .filter(row -> row.version() > known.version())
+                .toList();
+        if (changes.version() > known.version()) {
+            apply(new RowStore.Rows(newRows, changes.version(), changes.era()), changes.storeReturned());
         }
         return true;
     }
 
     /** Reads and applies the changes since the last read; returns whether there were any. */
     private boolean readChanges() throws HistoryLostException, PlatformUnavailableException {
-        long after = version;
-        RowStore.Rows changes = store.follow(table, after, relay.isRelayed(table) ? Duration.ZERO : wait);
+        StorePosition known = position;
+        RowStore.Rows changes = store.follow(table, known.version(), relay.isRelayed(table) ? Duration.ZERO : wait);
         storeAnswered();
-        noteEra(changes);
+        if (known.isRestoredIn(changes.era()) || known.resolve(changes.era()) < known.era()) {
+            // The versions are of another life of the store, so changes may be missing between the known one and these.
+            needsFullRead = true;
+            return false;
+        }
         apply(changes, isInRestoreGrace());
-        relay.forward(new PeerMessage.StoreChanges(table, after, changes.rows(), version, isInRestoreGrace()));
+        relay.forward(new PeerMessage.StoreChanges(
+                table, known.version(), changes.rows(), position.version(), isInRestoreGrace(), position.era()));
         return !changes.rows().isEmpty();
     }
 
     /** Reads the whole table; returns false, as the next read need not be delayed to batch changes. */
     private boolean readAll() throws PlatformUnavailableException {
         RowStore.Rows rows = store.read(table);
-        storeAnswered();
-        noteEra(rows);
-        if (rows.version() < version) {
+        StorePosition before = position;
+        StorePosition after = before.of(rows.era(), rows.version());
+        boolean restored = before.isRestoredIn(rows.era()) || after.isBefore(before);
+        if (after.isBefore(before) && !isOutdatedForLong()) {
             throw new PlatformUnavailableException(
-                    "the store",
-                    "read version " + rows.version() + " of table " + table + ", which is older than the known version "
-                            + version,
-                    null);
+                    "the store", "read " + after + " of table " + table + ", which is older than " + before, null);
+        }
+        storeAnswered();
+        outdatedSinceNanos = OptionalLong.empty();
+        if (restored) {
+            storeRestored(before, after);
         }
         Set<String> missing = new HashSet<>(knownKeys);
         for (RowStore.Row row : rows.rows()) {
@@ -186,9 +215,13 @@
         }
         for (String key : missing) {
             knownKeys.remove(key);
-            listener.removed(key, isInRestoreGrace());
+            if (restored) {
+                listener.lost(key);
+            } else {
+                listener.removed(key, isInRestoreGrace());
+            }
         }
-        version = rows.version();
+        position = after;
         needsFullRead = false;
         listener.batchCompleted();
         return false;
@@ -204,32 +237,38 @@
                 listener.removed(row.key(), storeReturned);
             }
         }
-        version = Math.max(version, changes.version());
+        StorePosition after = position.of(changes.era(), changes.version());
+        position = position.isBefore(after) ? after : position;
         listener.batchCompleted();
     }
 
     /** Returns the highest era of the store that an answer has named, or {@link RowStore#UNKNOWN_ERA}. */
     public long era() {
-        return era;
+        return position.era();
     }
 
-    /** Records the era of an answer, and logs when the store was restored from a copy. */
-    private void noteEra(RowStore.Rows answer) {
-        long before = era;
-        if (answer.era() <= before) {
-            return;
-        }
-        era = answer.era();
-        if (before != RowStore.UNKNOWN_ERA) {
-            decisions
-                    .line("store-restored")
-                    .with("table", table)
-                    .with("eraBefore", before)
-                    .with("era", era)
-                    .with("versionBefore", version)
-                    .with("version", answer.version())
-                    .write(DecisionLog.Weight.NOTABLE);
+    /**
+     * Returns whether answers have been older than the known position for so long that they can't be late ones: the store
+     * was then restored without saying so.
+     */
+    private boolean isOutdatedForLong() {
+        long now = ticker.nanos();
+        if (outdatedSinceNanos.isEmpty()) {
+            outdatedSinceNanos = OptionalLong.of(now);
         }
+        return now - outdatedSinceNanos.getAsLong() > MAX_ANSWER_DELAY_NANOS;
+    }
+
+    private void storeRestored(StorePosition before, StorePosition after) {
+        storeRegainedNanos = ticker.nanos();
+        decisions
+                .line("store-restored")
+                .with("table", table)
+                .with("eraBefore", before.era())
+                .with("era", after.era())
+                .with("versionBefore", before.version())
+                .with("version", after.version())
+                .write(DecisionLog.Weight.NOTABLE);
     }
 
     private boolean isInRestoreGrace() {
@@ -245,8 +284,8 @@
         decisions
                 .line("store-regained")
                 .with("table", table)
-                .with("era", era)
-                .with("version", version)
+                .with("era", position.era())
+                .with("version", position.version())
                 .write(DecisionLog.Weight.NOTABLE);
     }
 
@@ -259,8 +298,8 @@
         decisions
                 .line("store-lost")
                 .with("table", table)
-                .with("era", era)
-                .with("version", version)
+                .with("era", position.era())
+                .with("version", position.version())
                 .with("reason", e.text())
                 .write(DecisionLog.Weight.NOTABLE);
     }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/peer/PeerCodec.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/peer/PeerCodec.java
@@ -167,7 +167,8 @@
                 .setTable(message.table())
                 .setAfter(message.after())
                 .setVersion(message.version())
-                .setStoreReturned(message.storeReturned());
+                .setStoreReturned(message.storeReturned())
+                .setEra(message.era());
         for (RowStore.Row row : message.rows()) {
             changes.addRows(org.cowsliplatch.wire.StoreRow.newBuilder()
                     .setKey(row.key())
@@ -188,7 +189,12 @@
                                 : Optional.of(row.getValue().toByteArray())))
                 .toList();
         return new PeerMessage.StoreChanges(
-                changes.getTable(), changes.getAfter(), rows, changes.getVersion(), changes.getStoreReturned());
+                changes.getTable(),
+                changes.getAfter(),
+                rows,
+                changes.getVersion(),
+                changes.getStoreReturned(),
+                changes.getEra());
     }
 
     /**
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/peer/PeerMessage.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/peer/PeerMessage.java
@@ -208,12 +208,19 @@
      * @param rows changes, oldest first
      * @param version version up to which all changes are included
      * @param storeReturned whether the store was unavailable shortly before, so that removed rows may reappear
+     * @param era life of the store that the versions are of, or {@link RowStore#UNKNOWN_ERA}
      */
-    record StoreChanges(String table, long after, List<RowStore.Row> rows, long version, boolean storeReturned)
+    record StoreChanges(
+            String table, long after, List<RowStore.Row> rows, long version, boolean storeReturned, long era)
             implements PeerMessage {
         /** Makes a defensive copy of the rows. */
         public StoreChanges {
             rows = List.copyOf(rows);
         }
+
+        /** Creates changes of an unknown life of the store. */
+        public StoreChanges(String table, long after, List<RowStore.Row> rows, long version, boolean storeReturned) {
+            this(table, after, rows, version, storeReturned, RowStore.UNKNOWN_ERA);
+        }
     }
 }
