Keep confirmed evacuations when the store returns from a copy without them

What operators would see: an evacuation that the store had confirmed ends at once when the store returns from a copy that lacks its row, and one that had ended begins again from a copy that still has it.

Cause: the rows of operators were followed as the store has them, also right after it was restored. What was confirmed later is written again, but until then the copy is not what operators asked for.

Fix: RestoredRows keeps an evacuation whose row was lost, and ignores a revived row that has the version of the removed one, for at most 10 s; after that the store is right, with a log line operator-row-not-rewritten.

--- a/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/RestoredStoreFollowingTest.java
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/RestoredStoreFollowingTest.java
@@ -13,6 +13,7 @@
 import org.cowsliplatch.errors.HistoryLostException;
 import org.cowsliplatch.errors.PlatformUnavailableException;
 import org.cowsliplatch.internal.follow.ChangeRelay;
+import org.cowsliplatch.internal.follow.RestoredRows;
 import org.cowsliplatch.internal.follow.StoreTableWatcher;
 import org.cowsliplatch.internal.member.Member;
 import org.cowsliplatch.internal.peer.PeerMessage;
@@ -204,4 +205,30 @@
     private void relayChanges(String reader, long era, long after, long version, RowStore.Row... rows) {
         relay.receive(reader, new PeerMessage.StoreChanges("t", after, List.of(rows), version, false, era));
     }
+
+    @Test
+    void removedRowIsNotRevivedByACopyUntilTheStoreKeepsIt() {
+        RestoredRows rows = new RestoredRows(ticker);
+        assertThat(rows.put("k", 3)).isTrue();
+        rows.remove("k");
+
+        assertThat(rows.put("k", 3)).isFalse();
+        assertThat(rows.settle()).isEmpty();
+        ticker.advanceMs(10_100);
+        assertThat(rows.settle()).containsExactly(new RestoredRows.Settled("k", RestoredRows.Disagreement.REVIVED));
+        assertThat(rows.put("k", 3)).isTrue();
+    }
+
+    @Test
+    void lostRowStaysUntilItIsWrittenAgainOrTimeIsUp() {
+        RestoredRows rows = new RestoredRows(ticker);
+        rows.put("k", 9);
+        rows.put("l", 9);
+        rows.lose("k");
+        rows.lose("l");
+        assertThat(rows.put("k", 4)).isTrue();
+        ticker.advanceMs(10_100);
+
+        assertThat(rows.settle()).containsExactly(new RestoredRows.Settled("l", RestoredRows.Disagreement.LOST));
+    }
 }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/StoreFollower.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/StoreFollower.java
@@ -15,6 +15,7 @@
 import org.cowsliplatch.errors.TablesUnavailableException;
 import org.cowsliplatch.errors.WriteOutcomeUnknownException;
 import org.cowsliplatch.internal.follow.ChangeRelay;
+import org.cowsliplatch.internal.follow.RestoredRows;
 import org.cowsliplatch.internal.follow.StoreTableWatcher;
 import org.cowsliplatch.internal.steer.EndpointPublisher;
 import org.cowsliplatch.internal.steer.EndpointRegistry;
@@ -55,6 +56,8 @@
     private final Set<String> reportedRows = new HashSet<>();
     private final Map<Long, String> documents = new ConcurrentHashMap<>();
     private final List<Thread> threads = new ArrayList<>();
+    private final Ticker ticker;
+    private final OperatorRows operatorRows;
     private final StoreTableWatcher operatorWatcher;
     private final StoreTableWatcher endpointWatcher;
     private volatile List<String> peerAddresses = List.of();
@@ -86,15 +89,10 @@
         this.ownAddress = ownAddress;
         this.endpointRegistry = new EndpointRegistry(settings.regionOfZone(), ticker, decisions);
         this.publisher = new EndpointPublisher(endpointRegistry, views);
+        this.ticker = ticker;
+        this.operatorRows = new OperatorRows();
         this.operatorWatcher = new StoreTableWatcher(
-                store,
-                format.operatorTable(),
-                MAX_READ_WAIT,
-                ticker,
-                random.split(),
-                new OperatorRows(),
-                decisions,
-                relay);
+                store, format.operatorTable(), MAX_READ_WAIT, ticker, random.split(), operatorRows, decisions, relay);
         this.endpointWatcher = new StoreTableWatcher(
                 store,
                 format.endpointTable(),
@@ -127,8 +125,9 @@
         return endpointsRead && operatorsRead;
     }
 
-    /** Removes endpoints whose rows did not reappear after the store returned. */
+    /** Removes endpoints and evacuations whose rows did not reappear after the store returned. */
     void expire() {
+        operatorRows.settle();
         if (endpointRegistry.expire()) {
             publisher.publish();
         }
@@ -219,6 +218,7 @@
 
     private final class OperatorRows implements StoreTableWatcher.Listener {
         private final Map<String, String> zoneOfKey = new ConcurrentHashMap<>();
+        private final RestoredRows restoredRows = new RestoredRows(ticker);
 
         @Override
         public void put(RowStore.Row row) {
@@ -227,7 +227,9 @@
                 adopt(configuration, row);
             } else if (operatorRow instanceof OperatorRow.Evacuation evacuation) {
                 zoneOfKey.put(row.key(), evacuation.zone());
-                evacuate(evacuation.zone(), row.version());
+                if (restoredRows.put(row.key(), row.version())) {
+                    evacuate(evacuation.zone(), row.version());
+                }
             } else if (operatorRow instanceof OperatorRow.Unreadable invalid
                     && reportedRows.add(row.key() + row.version())) {
                 decisions
@@ -241,6 +243,33 @@
 
         @Override
         public void removed(String key, boolean storeReturned) {
+            restoredRows.remove(key);
+            endEvacuation(key);
+        }
+
+        @Override
+        public void lost(String key) {
+            restoredRows.lose(key);
+        }
+
+        /** Follows the store where it still disagrees with what it had confirmed before it was restored. */
+        void settle() {
+            for (RestoredRows.Settled settled : restoredRows.settle()) {
+                decisions
+                        .line("operator-row-not-rewritten")
+                        .with("key", settled.key())
+                        .with("store", settled.disagreement().name())
+                        .write(DecisionLog.Weight.NOTABLE);
+                String zone = zoneOfKey.get(settled.key());
+                if (settled.disagreement() == RestoredRows.Disagreement.LOST) {
+                    endEvacuation(settled.key());
+                } else if (zone != null) {
+                    evacuate(zone, 0);
+                }
+            }
+        }
+
+        private void endEvacuation(String key) {
             @Nullable String zone = zoneOfKey.remove(key);
             if (zone == null) {
                 return;
