List the instance again when the store has lost its row

What callers would see: an instance whose row the store lost with the copy is not found by instances that start later, so these serve alone and know less.

Cause: the row was written once in the life of a process, and never compared with what the store has. It is state of our own that is lost with the copy.

--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/StoreFollower.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/StoreFollower.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import org.cowsliplatch.errors.PlatformUnavailableException;
 import org.cowsliplatch.errors.TableException;
 import org.cowsliplatch.errors.TableRegressionException;
@@ -68,6 +69,10 @@
     private volatile boolean closed;
     /** Whether this entry instance has added itself to the list; used by one thread. */
     private boolean listed;
+    /** Era of the store and time in ns of the last read of the list; used by one thread. */
+    private long listEra = RowStore.UNKNOWN_ERA;
+
+    private long listReadNanos;
 
     StoreFollower(
             DeploymentSettings settings,
@@ -195,27 +200,50 @@
     }
 
     private long pollEntries() {
+        if (!isListReadDue()) {
+            return DISCOVERY_INTERVAL_MS;
+        }
         try {
+            long era = storeEra();
             if (!listed) {
                 store.put(ENTRY_TABLE, settings.instance(), ownAddress.getBytes(StandardCharsets.UTF_8));
                 listed = true;
             }
             List<String> others = new ArrayList<>();
+            // A restored store may have lost the own row, or have that of an earlier start.
+            listed = false;
             for (RowStore.Row row : store.read(ENTRY_TABLE).rows()) {
                 String address = new String(row.value().orElse(new byte[0]), StandardCharsets.UTF_8);
-                if (!row.key().equals(settings.instance())) {
+                if (row.key().equals(settings.instance())) {
+                    listed = address.equals(ownAddress);
+                } else {
                     others.add(address);
                 }
             }
             peerAddresses = List.copyOf(others);
             entriesRead = true;
-            boolean alone = views.current().members().size() <= 1;
-            return alone ? DISCOVERY_INTERVAL_MS : LIST_INTERVAL_MS;
+            listEra = era;
+            listReadNanos = ticker.nanos();
+            return DISCOVERY_INTERVAL_MS;
         } catch (PlatformUnavailableException | WriteOutcomeUnknownException e) {
             return DISCOVERY_INTERVAL_MS;
         }
     }
 
+    /** Returns whether to read the list: often while no peer is known, and at once after the store was restored. */
+    private boolean isListReadDue() {
+        if (listEra == RowStore.UNKNOWN_ERA) {
+            listEra = storeEra();
+        }
+        boolean alone = views.current().members().size() <= 1;
+        long ageNanos = ticker.nanos() - listReadNanos;
+        return !entriesRead
+                || !listed
+                || alone
+                || storeEra() != listEra
+                || ageNanos > TimeUnit.MILLISECONDS.toNanos(LIST_INTERVAL_MS);
+    }
+
     private final class OperatorRows implements StoreTableWatcher.Listener {
         private final Map<String, String> zoneOfKey = new ConcurrentHashMap<>();
         private final RestoredRows restoredRows = new RestoredRows(ticker);
