Do not spend the rate of a cold server again when the grantor changes

What servers would see: a cold server that tolerates 20 requests a second gets up to 20 from each instance that becomes the grantor of its group within that second, and as many from fallback shares.

Cause: each grantor counted only its own grants to a cold endpoint.

Evidence: four grantors in a second granted 80 requests to a cold endpoint with a rate of 20; one and a half times the rate and 5 more are 35.

Fix: the pacer that keeps named limits keeps the cold rate too: it starts without tokens, a fallback share uses its part, and the expected wait counts it. Tokens that have come are noticed at a request, not only at a tick. An endpoint without tokens is no longer taken for one that is missing, so its requests wait or are refused with the time at which there is room. The new test failed before.

--- a/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/PlacementTest.java
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/PlacementTest.java
@@ -204,4 +204,36 @@
 
         assertThat(granted).isIn(com.google.common.collect.Range.closed(3, 4));
     }
+
+    @Test
+    void coldRateIsNotSpentAgainByTheNextGrantor() {
+        ManualTicker ticker = new ManualTicker();
+        Pool pool = new Pool("p", "p", 64, new TreeMap<>(), Duration.ZERO, 1_000, 20);
+        Endpoint endpoint = new Endpoint("e", "10.0.0.1:80", "r", "z");
+        ListedEndpoint cold = new ListedEndpoint(endpoint, 64, false, false, ticker.nanos() + 10_000_000_000L);
+        long granted = 0;
+        for (int i = 0; i < 4; i++) {
+            SlotGrantor grantor = new SlotGrantor(pool, ticker, new SplittableRandom(i));
+            grantor.updateEndpoints(List.of(cold));
+            for (int ms = 0; ms < 250; ms += 10) {
+                ticker.advanceMs(10);
+                long now = ticker.nanos();
+                for (int n = 0; n < 5; n++) {
+                    granted += grantor
+                            .request(new SlotRequest(
+                                    "h",
+                                    i * 1_000L + ms + n,
+                                    "z",
+                                    now,
+                                    SlotRequest.Requirements.of(Rank.LOOKUP, now + 20_000_000)))
+                            .stream()
+                            .filter(SlotDecision.Granted.class::isInstance)
+                            .count();
+                }
+            }
+        }
+
+        assertThat(granted).isAtMost(35);
+        assertThat(granted).isAtLeast(12);
+    }
 }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/EndpointSet.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/EndpointSet.java
@@ -72,11 +72,10 @@
             String id = listing.endpoint().id();
             ids.add(id);
             EndpointSlots endpoint = byId.computeIfAbsent(id, key -> {
-                RatePacer pacer = pacers.apply(id);
-                pacer.refresh(rateShare);
-                return new EndpointSlots(listing, slots, now, warmUpOfNew(), pacer);
+                return new EndpointSlots(listing, slots, now, warmUpOfNew(), pacers.apply(id));
             });
             endpoint.update(listing);
+            endpoint.refreshPacer(rateShare, now);
         }
         initialized = true;
         Map<String, String> usable = new HashMap<>();
@@ -103,7 +102,7 @@
         Map<String, Integer> bounds = new HashMap<>();
         for (String id : usable.keySet()) {
             EndpointSlots endpoint = byId.get(id);
-            if (endpoint != null && endpoint.pacer().isLimited() && requestsPerObject > 0) {
+            if (endpoint != null && endpoint.pacer().isNamed() && requestsPerObject > 0) {
                 bounds.put(id, objectBound(id, endpoint.pacer().perSecond()));
             }
         }
@@ -254,7 +253,7 @@
         requestsPerObject = objectRequestsPerSecond / Math.max(1, affinity.objects());
         for (EndpointSlots endpoint : byId.values()) {
             boolean wasLimited = endpoint.pacer().isLimited();
-            endpoint.pacer().refresh(share);
+            endpoint.refreshPacer(share, now);
             if (wasLimited || endpoint.pacer().isLimited()) {
                 updateBucketAndFree(endpoint, now);
             }
@@ -305,7 +304,7 @@
     }
 
     void occupy(EndpointSlots endpoint, long now) {
-        endpoint.occupy(now);
+        endpoint.occupy();
         updateBucketAndFree(endpoint, now);
     }
 
@@ -348,6 +347,7 @@
         }
         int before = free;
         for (EndpointSlots endpoint : List.copyOf(inTransition)) {
+            endpoint.refreshPacer(rateShare, now);
             updateBucket(endpoint, now);
         }
         recount(now);
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/EndpointSlots.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/EndpointSlots.java
@@ -1,6 +1,5 @@
 package org.cowsliplatch.internal.limit;
 
-import java.util.ArrayDeque;
 import org.cowsliplatch.internal.place.AffinityMap;
 import org.cowsliplatch.internal.place.RecentObjects;
 import org.cowsliplatch.platform.Instance;
@@ -16,7 +15,6 @@
     /** Failure share assumed after several consecutive failures, before the moving average has caught up. */
     private static final double CONSECUTIVE_FAILURE_SHARE = 0.75;
 
-    private static final long SECOND_NANOS = 1_000_000_000L;
     private static final long FIRST_EJECTION_NANOS = 1_000_000_000L;
     private static final long MAX_EJECTION_NANOS = 30_000_000_000L;
     private static final long SHED_BACKOFF_NANOS = 250_000_000L;
@@ -28,7 +26,6 @@
     private final WarmUp warmUp;
     private final RatePacer pacer;
     private final RecentObjects recentObjects = new RecentObjects(AffinityMap.CACHED_OBJECTS);
-    private final ArrayDeque<Long> coldGrantNanos = new ArrayDeque<>();
     private long coldUntilNanos = Instance.WARM;
     private boolean suspended;
     private double failureMean;
@@ -74,6 +71,15 @@
         return pacer;
     }
 
+    /**
+     * Applies the present rate limits.
+     *
+     * @param share share of the limits that may be used here, from 0 to 1
+     */
+    void refreshPacer(double share, long now) {
+        pacer.refresh(share, isCold(now) ? warmUp.coldPerSecond() : Double.POSITIVE_INFINITY);
+    }
+
     /** Updates the state of the endpoint from the instance list. */
     void update(ListedEndpoint listed) {
         coldUntilNanos = listed.coldUntilNanos();
@@ -119,11 +125,8 @@
         removed = true;
     }
 
-    void occupy(long now) {
+    void occupy() {
         outstanding++;
-        if (isCold(now)) {
-            coldGrantNanos.addLast(now);
-        }
     }
 
     void free() {
@@ -145,9 +148,6 @@
         if (rampNanos > 0 && now - firstSeenNanos < rampNanos) {
             allowed = 1 + (int) ((slots - 1) * (now - firstSeenNanos) / rampNanos);
         }
-        if (isColdRateUsedUp(now)) {
-            return 0;
-        }
         return now < shedUntilNanos ? Math.max(1, allowed - 1) : allowed;
     }
 
@@ -160,17 +160,6 @@
         return warmUp.coldPerSecond() > 0 && coldUntilNanos != Instance.WARM && now < coldUntilNanos;
     }
 
-    private boolean isColdRateUsedUp(long now) {
-        if (!isCold(now)) {
-            coldGrantNanos.clear();
-            return false;
-        }
-        while (!coldGrantNanos.isEmpty() && now - coldGrantNanos.peekFirst() >= SECOND_NANOS) {
-            coldGrantNanos.removeFirst();
-        }
-        return coldGrantNanos.size() >= Math.max(1, (int) warmUp.coldPerSecond());
-    }
-
     boolean isEjected(long now) {
         return now < ejectedUntilNanos;
     }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/RatePacer.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/RatePacer.java
@@ -5,7 +5,8 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Paces the requests to one endpoint at the rate limit that it has named; guarded by the lock of the grantor.
+ * Paces the requests to one endpoint at the rate limit that it has named, and at the rate that it tolerates while it is
+ * cold; guarded by the lock of the grantor.
  *
  * <p>A pacer starts without tokens, since an earlier grantor may have just spent those of the limit.
  */
@@ -22,6 +23,7 @@
     private final Ticker ticker;
     private @Nullable TokenBucket bucket;
     private double perSecond;
+    private boolean isNamed;
 
     RatePacer(String endpointId, EndpointLimits limits, Ticker ticker) {
         this.endpointId = endpointId;
@@ -30,17 +32,20 @@
     }
 
     /**
-     * Applies the present limit.
+     * Applies the present limits.
      *
-     * @param share share of the limit that may be used here, from 0 to 1
+     * @param share share of the limits that may be used here, from 0 to 1
+     * @param coldPerSecond rate limit in requests per second while the endpoint is cold, infinite if it is not
      */
-    void refresh(double share) {
-        EndpointLimits.Limit limit = limits.of(endpointId);
-        if (limit == null) {
+    void refresh(double share, double coldPerSecond) {
+        EndpointLimits.Limit named = limits.of(endpointId);
+        isNamed = named != null;
+        double limit = Math.min(coldPerSecond, named == null ? Double.POSITIVE_INFINITY : named.perSecond());
+        if (limit == Double.POSITIVE_INFINITY) {
             bucket = null;
             return;
         }
-        double rate = Math.max(limit.perSecond(), PROBES_PER_SECOND) * share;
+        double rate = Math.max(limit, PROBES_PER_SECOND) * share;
         double burst = Math.max(1, rate * BURST_S);
         TokenBucket current = bucket;
         if (current == null) {
@@ -56,6 +61,11 @@
         return bucket != null;
     }
 
+    /** Returns whether the endpoint has named a limit, which outlasts its cold start. */
+    boolean isNamed() {
+        return isNamed;
+    }
+
     /** Returns whether the limit allows no request now. */
     boolean isUsedUp() {
         TokenBucket current = bucket;
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotGrantor.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotGrantor.java
@@ -153,6 +153,7 @@
     public synchronized List<SlotDecision> request(SlotRequest request) {
         long now = ticker.nanos();
         applyLimits(now);
+        endpoints.tick(now);
         if (!request.requirements().object().isEmpty()) {
             objectRequests.add(now);
         }
