Cut off responses that never end

What callers saw: a server in trouble that sends bytes without end, as a head or as the body of a response that is rejected, held the request up to its timeout; it ended with 504 although another server could have answered.

Cause: the head of a response had no bound, and the body of a rejected response was read to its end before the request was tried elsewhere.

Fix: a head of more than 32 KB is no response.

--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Attempt.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Attempt.java
@@ -1,6 +1,7 @@
 package org.cowsliplatch.internal.proxy;
 
 import java.io.EOFException;
+import java.io.IOException;
 import java.net.ConnectException;
 import java.net.SocketTimeoutException;
 import java.nio.channels.ClosedChannelException;
@@ -12,6 +13,7 @@
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.Content;
 import org.jspecify.annotations.Nullable;
 
@@ -32,6 +34,9 @@
         void onFailure(AttemptFailure result, boolean responseStarted);
     }
 
+    /** Longest body of a rejected response that is read to its end, in bytes. */
+    private static final long MAX_DISCARDED_BYTES = 64 * 1024;
+
     private final BackendClient client;
     private final String address;
     private final Listener listener;
@@ -89,7 +94,7 @@
         AttemptFailure.Kind reason = listener.validate(response);
         if (reason != null) {
             rejection = reason;
-            Content.Source.consumeAll(content, org.eclipse.jetty.util.Callback.NOOP);
+            discard(response, content, reason);
             return;
         }
         responseAccepted = true;
@@ -100,6 +105,26 @@
                         () -> onCopyComplete(response, null), failure -> onCopyComplete(response, failure)));
     }
 
+    /** Reads a short body to its end, so that the connection can be kept; any other is cut off, since it may never end. */
+    private void discard(Response response, Content.Source content, AttemptFailure.Kind reason) {
+        long length = response.getHeaders().getLongField(HttpHeader.CONTENT_LENGTH);
+        if (length >= 0 && length <= MAX_DISCARDED_BYTES) {
+            Content.Source.consumeAll(content, org.eclipse.jetty.util.Callback.NOOP);
+            return;
+        }
+        IOException cause = new IOException("rejected response without a short body");
+        cancel(cause);
+        closeConnection();
+        endRejected(response, reason);
+    }
+
+    private void endRejected(Response response, AttemptFailure.Kind reason) {
+        if (ended.compareAndSet(false, true)) {
+            listener.onFailure(
+                    new AttemptFailure(reason, address + " responded with status " + response.getStatus()), false);
+        }
+    }
+
     private void onCopyComplete(Response response, @Nullable Throwable failure) {
         if (failure == null) {
             responseCopied = true;
@@ -126,15 +151,7 @@
         if (failure == null) {
             markConnectionUsed();
         }
-        AttemptFailure.Kind kind = rejected == null ? AttemptFailure.Kind.CUT : rejected;
-        if (ended.compareAndSet(false, true)) {
-            listener.onFailure(
-                    new AttemptFailure(
-                            kind,
-                            address + " responded with status "
-                                    + result.getResponse().getStatus()),
-                    false);
-        }
+        endRejected(result.getResponse(), rejected == null ? AttemptFailure.Kind.CUT : rejected);
     }
 
     private void end(Throwable failure) {
@@ -166,6 +183,13 @@
         return reused ? AttemptFailure.Kind.SILENT_CONNECTION : AttemptFailure.Kind.TIMED_OUT;
     }
 
+    private void closeConnection() {
+        Connection current = connection;
+        if (current != null) {
+            current.close();
+        }
+    }
+
     private void markConnectionUsed() {
         Connection current = connection;
         if (current != null) {
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/BackendClient.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/BackendClient.java
@@ -33,6 +33,8 @@
     private static final long PROVEN_IDLE_TIMEOUT_MS = 200;
     private static final long CONNECT_TIMEOUT_MS = 300;
     private static final int MAX_CONNECTIONS_PER_ADDRESS = 128;
+    /** Longest head of a response; a longer one is taken for bytes that are no response. */
+    private static final int MAX_RESPONSE_HEAD_BYTES = 32 * 1024;
     /** Time after which the connection pool of an unused address is removed. */
     private static final long ADDRESS_IDLE_TIMEOUT_MS = 30_000;
 
@@ -150,6 +152,7 @@
         client.setConnectTimeout(CONNECT_TIMEOUT_MS);
         client.setMaxConnectionsPerDestination(MAX_CONNECTIONS_PER_ADDRESS);
         client.setMaxRequestsQueuedPerDestination(MAX_CONNECTIONS_PER_ADDRESS * 8);
+        client.setMaxResponseHeadersSize(MAX_RESPONSE_HEAD_BYTES);
         client.setFollowRedirects(false);
         client.setUserAgentField(null);
         client.getContentDecoderFactories().clear();
