Keep the return times finite when a grantor may use no part of a limit

Cause: a pool whose endpoints take no request at all has an infinite time between two requests. The schedule of returns then became not a number for good, and refused callers were told that there is room at once.

Change: the schedule gives its latest time instead. The new test failed before (0 in place of 5 s). The look-ups of member names move to Groups without a change of behaviour.

--- a/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/RateLimitTest.java
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/RateLimitTest.java
@@ -3,9 +3,20 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
+import java.time.Duration;
+import java.util.List;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
+import org.cowsliplatch.internal.limit.Endpoint;
 import org.cowsliplatch.internal.limit.EndpointLimits;
 import org.cowsliplatch.internal.limit.LimitNotice;
+import org.cowsliplatch.internal.limit.ListedEndpoint;
+import org.cowsliplatch.internal.limit.RateBound;
+import org.cowsliplatch.internal.limit.SlotDecision;
+import org.cowsliplatch.internal.limit.SlotGrantor;
+import org.cowsliplatch.internal.limit.SlotRequest;
+import org.cowsliplatch.table.Pool;
+import org.cowsliplatch.table.Rank;
 import org.junit.jupiter.api.Test;
 
 /** Tests that the sum of all entry instances keeps the rate limits of endpoints, on virtual time. */
@@ -141,4 +152,31 @@
         assertThat(limits.observe("e", LimitNotice.ABSENT, ticker.nanos(), "a")).isTrue();
         assertThat(limits.of("e")).isNull();
     }
+
+    @Test
+    void refusedCallersReturnOneAfterAnotherAtTheRateOfThePool() {
+        ManualTicker ticker = new ManualTicker();
+        EndpointLimits limits = new EndpointLimits(ticker, EndpointLimits.NO_LISTENER);
+        SlotGrantor grantor = new SlotGrantor(
+                new Pool("p", "s", 3, new TreeMap<>(), Duration.ZERO, 100), ticker, new SplittableRandom(1), limits);
+        limits.observe("e", LimitNotice.named(2), ticker.nanos(), "a");
+        grantor.updateEndpoints(List.of(ListedEndpoint.active(new Endpoint("e", "10.0.0.1:80", "r", "z"))));
+        grantor.setRateShare(0);
+        assertThat(refuse(grantor, ticker, 0).roomInNanos()).isEqualTo(5_000_000_000L);
+
+        grantor.setRateShare(1);
+        for (int i = 1; i <= 3; i++) {
+            RateBound bound = refuse(grantor, ticker, i);
+            assertThat(bound.roomInNanos()).isEqualTo(i * 500_000_000L);
+            assertThat(bound.perSecond()).isWithin(1e-6).of(2);
+        }
+    }
+
+    private static RateBound refuse(SlotGrantor grantor, ManualTicker ticker, long id) {
+        long now = ticker.nanos();
+        SlotRequest request = new SlotRequest(
+                "h", id, "z", now, new SlotRequest.Requirements(Rank.LOOKUP, now + 1, now + 2, List.of(), "o"));
+        SlotDecision decision = grantor.request(request).get(0);
+        return ((SlotDecision.Refused) decision).rateBound().orElseThrow();
+    }
 }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/EndpointSet.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/EndpointSet.java
@@ -71,9 +71,8 @@
         for (ListedEndpoint listing : listed) {
             String id = listing.endpoint().id();
             ids.add(id);
-            EndpointSlots endpoint = byId.computeIfAbsent(id, key -> {
-                return new EndpointSlots(listing, slots, now, warmUpOfNew(), pacers.apply(id));
-            });
+            EndpointSlots endpoint = byId.computeIfAbsent(
+                    id, key -> new EndpointSlots(listing, slots, now, warmUpOfNew(), pacers.apply(id)));
             endpoint.update(listing);
             endpoint.refreshPacer(rateShare, now);
         }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/Groups.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/Groups.java
@@ -52,6 +52,25 @@
         return inRegion.isEmpty() ? all : inRegion;
     }
 
+    /** Returns the names of the live entry instances that have announced their planned stop. */
+    static Set<String> leavingMembers(SteeringView view) {
+        Set<String> leaving = new HashSet<>();
+        for (Member member : view.members()) {
+            if (member.leaving()) {
+                leaving.add(member.name());
+            }
+        }
+        return leaving;
+    }
+
+    /** Returns the names of the live entry instances other than one. */
+    static List<String> otherMembers(SteeringView view, String self) {
+        return view.members().stream()
+                .map(Member::name)
+                .filter(name -> !name.equals(self))
+                .toList();
+    }
+
     /** Returns the region of an entry instance, or an empty string if it is unknown. */
     static String regionOf(SteeringView view, String name) {
         for (Member member : view.members()) {
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/ReturnSchedule.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/ReturnSchedule.java
@@ -15,13 +15,16 @@
      *
      * @param now present time in ns
      * @param backlogNanos time in ns until the requests that are queued now have been sent
-     * @param intervalNanos time in ns between two requests
+     * @param intervalNanos time in ns between two requests, infinite if none can be sent
      */
     long next(long now, double backlogNanos, double intervalNanos) {
+        if (!(intervalNanos < HORIZON_NANOS)) {
+            return HORIZON_NANOS;
+        }
         double earliest = now + Math.min(backlogNanos, HORIZON_NANOS);
         nextNanos = Math.max(nextNanos, earliest) + intervalNanos;
         if (nextNanos > now + HORIZON_NANOS) {
-            nextNanos = earliest + Math.min(intervalNanos, HORIZON_NANOS);
+            nextNanos = earliest + intervalNanos;
         }
         return Math.min(HORIZON_NANOS, (long) (nextNanos - now));
     }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotBroker.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotBroker.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.cowsliplatch.internal.member.Member;
 import org.cowsliplatch.internal.peer.PeerMessage;
 import org.cowsliplatch.internal.peer.PeerSender;
@@ -23,6 +24,7 @@
 import org.cowsliplatch.internal.steer.SteeringView;
 import org.cowsliplatch.internal.util.Rendezvous;
 import org.cowsliplatch.internal.util.Ticker;
+import org.cowsliplatch.platform.Instance;
 import org.cowsliplatch.table.Pool;
 import org.jspecify.annotations.Nullable;
 
@@ -211,8 +213,13 @@
         }
         fallbackShares.forEach((group, share) -> deliver(group, FALLBACK, updateFallbackShare(group, share)));
         suspected.retainAll(now);
-        rateShare.update(now, leavingNames(newView.members()));
-        limits.retain(listedIds(newView));
+        updateLimits(newView, before, now);
+    }
+
+    /** Applies a new view to the rate limits, and tells those of the hosted groups to members that have joined. */
+    private void updateLimits(SteeringView newView, Set<String> before, Set<String> now) {
+        rateShare.update(now, Groups.leavingMembers(newView));
+        limits.retain(newView.endpoints().instances().stream().map(Instance::id).collect(Collectors.toSet()));
         Set<String> joined = new HashSet<>(now);
         joined.removeAll(before);
         joined.remove(self);
@@ -221,22 +228,6 @@
         }
     }
 
-    private static Set<String> leavingNames(List<Member> members) {
-        Set<String> leaving = new HashSet<>();
-        for (Member member : members) {
-            if (member.leaving()) {
-                leaving.add(member.name());
-            }
-        }
-        return leaving;
-    }
-
-    private static Set<String> listedIds(SteeringView view) {
-        Set<String> ids = new HashSet<>();
-        view.endpoints().instances().forEach(instance -> ids.add(instance.id()));
-        return ids;
-    }
-
     /** Handles a message of a peer; messages that are not about slots are ignored. */
     public void receive(String from, PeerMessage message) {
         suspected.remove(from);
@@ -291,14 +282,7 @@
         fallbackShares.forEach((group, share) -> deliver(group, FALLBACK, share.tick()));
         suspectSilentGrantors(now);
         refuseExpired(now);
-        limitSync.announce(hosted.keySet(), peerNames());
-    }
-
-    private List<String> peerNames() {
-        return view.members().stream()
-                .map(Member::name)
-                .filter(name -> !name.equals(self))
-                .toList();
+        limitSync.announce(hosted.keySet(), Groups.otherMembers(view, self));
     }
 
     /** Returns the load of the groups whose grantor is this entry instance. */
