--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/EndpointLimitSync.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/EndpointLimitSync.java
@@ -44,7 +44,7 @@
      * @param group group of the endpoint
      * @param endpointId id of the endpoint
      * @param notice what the response says
-     * @param grantedNanos time in ns at which its request was granted the slot, or empty if that is unknown
+     * @param grantedNanos time in ns at which its request was granted the slot, or null if that is unknown
      * @param source entry instance that got the response
      */
     void noticed(GroupId group, String endpointId, LimitNotice notice, @Nullable Long grantedNanos, String source) {
