--- a/review/build.sh
+++ b/review/build.sh
@@ -5,3 +5,4 @@
 rm -rf build
 mkdir -p build
 javac --release 17 -Xlint:all -d build standin/*.java
+cp standin/wire.properties build/review/
--- a/review/standin/BrokenAnswerCase.java
+++ b/review/standin/BrokenAnswerCase.java
@@ -53,10 +53,10 @@
 
         @Override
         void answer(Socket socket, InputStream in, Http.Head head) throws IOException {
-            String requestId = head.field("X-Cowsliplatch-Request-Id");
+            String requestId = head.field(Wire.REQUEST_ID);
             Http.readBody(in, head, false);
-            if (!head.field("X-Cowsliplatch-Target-Instance").equals(id)) {
-                reject(socket, requestId, "HTTP/1.1 421 Misdirected Request", "X-Cowsliplatch-Instance-Id: " + id);
+            if (!head.field(Wire.TARGET).equals(id)) {
+                reject(socket, requestId, "HTTP/1.1 421 Misdirected Request", Wire.INSTANCE_ID + ": " + id);
                 return;
             }
             recorder.line("run", id, requestId, head.part(0) + " " + head.part(1));
@@ -65,8 +65,8 @@
             out.write(Http.message(
                     "HTTP/1.1 200 OK",
                     List.of(
-                            "X-Cowsliplatch-Request-Id: " + requestId,
-                            "X-Cowsliplatch-Response-Signature: signed-" + requestId,
+                            Wire.REQUEST_ID + ": " + requestId,
+                            Wire.SIGNATURE + ": signed-" + requestId,
                             "Transfer-Encoding: chunked"),
                     new byte[0]));
             int piece = (body.length + LONG_PIECES - 1) / LONG_PIECES;
@@ -94,10 +94,10 @@
 
         @Override
         void answer(Socket socket, InputStream in, Http.Head head) throws IOException {
-            String requestId = head.field("X-Cowsliplatch-Request-Id");
+            String requestId = head.field(Wire.REQUEST_ID);
             Http.readBody(in, head, false);
-            if (!head.field("X-Cowsliplatch-Target-Instance").equals(id)) {
-                reject(socket, requestId, "HTTP/1.1 421 Misdirected Request", "X-Cowsliplatch-Instance-Id: " + id);
+            if (!head.field(Wire.TARGET).equals(id)) {
+                reject(socket, requestId, "HTTP/1.1 421 Misdirected Request", Wire.INSTANCE_ID + ": " + id);
                 return;
             }
             recorder.line("run", id, requestId, head.part(0) + " " + head.part(1));
@@ -109,8 +109,8 @@
                     .write(Http.message(
                             "HTTP/1.1 200 OK",
                             List.of(
-                                    "X-Cowsliplatch-Request-Id: " + requestId,
-                                    "X-Cowsliplatch-Response-Signature: signed-" + requestId,
+                                    Wire.REQUEST_ID + ": " + requestId,
+                                    Wire.SIGNATURE + ": signed-" + requestId,
                                     "Connection: close"),
                             sent));
             if (breaksOff) {
--- a/review/standin/Caller.java
+++ b/review/standin/Caller.java
@@ -56,9 +56,9 @@
             socket.setSoTimeout(limitMs);
             List<String> fields = new java.util.ArrayList<>(List.of(
                     "Host: " + host,
-                    "X-Cowsliplatch-Request-Id: " + id,
-                    "X-Cowsliplatch-Deadline-Ms: " + limitMs,
-                    "Cookie: X-Cowsliplatch-Affinity-Key=" + object));
+                    Wire.REQUEST_ID + ": " + id,
+                    Wire.DEADLINE + ": " + limitMs,
+                    "Cookie: " + Wire.OBJECT_COOKIE + "=" + object));
             if (!method.equals("GET")) {
                 fields.add("Content-Length: " + body.length);
             }
@@ -73,7 +73,7 @@
                     id,
                     head.status(),
                     new String(answer, StandardCharsets.UTF_8).strip(),
-                    head.field("X-Cowsliplatch-Response-Signature"),
+                    head.field(Wire.SIGNATURE),
                     sent,
                     System.nanoTime());
         } catch (SocketTimeoutException e) {
--- a/review/standin/Case.java
+++ b/review/standin/Case.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
-import java.util.Locale;
 
 /** What all cases share: the record, the store, the result and the end of all processes. */
 abstract class Case {
@@ -44,28 +43,16 @@
 
     /** Returns a configuration with one service for each route, in the format of the operator. */
     static String configuration(int version, List<String> routes, List<String> services) {
-        return "{\"Version\":\"r" + version + "\",\"Routes\":[" + String.join(",", routes) + "],\"Services\":["
-                + String.join(",", services)
-                + "],\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":67108864,\"HeaderTimeoutS\":3,"
-                + "\"IdleTimeoutS\":15}}";
+        return Wire.format("row.configuration", version, String.join(",", routes), String.join(",", services));
     }
 
     static String route(
             String name, String prefix, String kind, double timeoutS, double targetS, String service, boolean sticky) {
-        return String.format(
-                Locale.ROOT,
-                "{\"Name\":\"%s\",\"Host\":\"a.example\",\"PathPrefix\":\"%s\",\"Kind\":\"%s\",\"TimeoutS\":%s,"
-                        + "\"TargetLatencyS\":%s,\"Priority\":1,\"Service\":\"%s\",\"MaxAttempts\":2,\"Sticky\":%s,"
-                        + "\"HomeRegions\":[]}",
-                name, prefix, kind, timeoutS, targetS, service, sticky);
+        return Wire.format("row.route", name, prefix, kind, timeoutS, targetS, service, sticky);
     }
 
     static String service(String name, double coldS, double coldPerS) {
-        return String.format(
-                Locale.ROOT,
-                "{\"Name\":\"%s\",\"HealthPath\":\"/health\",\"MaxConnections\":390,\"Protocol\":\"h1\",\"Tls\":false,"
-                        + "\"ColdStartS\":%s,\"ColdPerS\":%s}",
-                name, coldS, coldPerS);
+        return Wire.format("row.service", name, coldS, coldPerS);
     }
 
     void list(StoreStandIn store, EndpointStandIn endpoint, String state, double coldRemainingS) {
--- a/review/standin/ColdRestartCase.java
+++ b/review/standin/ColdRestartCase.java
@@ -8,7 +8,7 @@
 
 /**
  * The machines of a region and its endpoints lose power together and come back together. The endpoints are cold for
- * ColdStartS; all machines together must keep within the bound of FAILBACK for each of them.
+ * a few seconds; all machines together must keep within the bound of FAILBACK for each of them.
  */
 final class ColdRestartCase extends Case {
     private static final double COLD_START_S = 3;
--- a/review/standin/Deployment.java
+++ b/review/standin/Deployment.java
@@ -81,7 +81,7 @@
         }
         List<String> command = new ArrayList<>();
         for (String word : run.group(1).split(" ")) {
-            command.add(word.equals("/etc/cowsliplatch/boot.conf") ? settings.toString() : word);
+            command.add(word.equals(Wire.text("settings.file")) ? settings.toString() : word);
         }
         ProcessBuilder builder = new ProcessBuilder(command).directory(root.toFile());
         builder.environment().put("COWSLIPLATCH_BOOT", settings.toString());
@@ -121,7 +121,7 @@
             socket.setSoTimeout(1_000);
             socket.getOutputStream()
                     .write(Http.message(
-                            "GET /cowsliplatch/ready HTTP/1.1",
+                            "GET " + Wire.text("call.ready") + " HTTP/1.1",
                             List.of("Host: ready", "Connection: close"),
                             new byte[0]));
             Http.Head head = Http.readHead(socket.getInputStream());
@@ -189,10 +189,10 @@
                 Map.entry("Listen.Front", "127.0.0.1:" + entry.front),
                 Map.entry("Listen.Ready", "127.0.0.1:" + entry.ready),
                 Map.entry("Listen.Directory", "127.0.0.1:" + entry.directory),
-                Map.entry("InternalPorts.0", Integer.toString(entry.peer)),
-                Map.entry("InternalPorts.1", Integer.toString(entry.metrics)),
+                Map.entry(Wire.text("settings.peerPort"), Integer.toString(entry.peer)),
+                Map.entry(Wire.text("settings.metricsPort"), Integer.toString(entry.metrics)),
                 Map.entry("Platform.Address", "127.0.0.1:" + entry.storePort),
-                Map.entry("Bounds.GraceS", Double.toString(graceS)),
+                Map.entry(Wire.text("settings.grace"), Double.toString(graceS)),
                 Map.entry("Bounds.RetryBudgetRatio", "0.2"),
                 Map.entry("Bounds.BudgetSlack", "64"));
         String template =
--- a/review/standin/EndpointStandIn.java
+++ b/review/standin/EndpointStandIn.java
@@ -55,10 +55,8 @@
     /** Returns the entry that the endpoint writes of itself into the store, with the next sequence number. */
     synchronized String row(String state, double coldRemainingS) {
         sequence++;
-        return "{\"Address\":\"127.0.0.1:" + listener.getLocalPort() + "\",\"born\":" + bornMs + ",\"Info\":{\"Service\":\""
-                + service + "\",\"Version\":\"v1\",\"Zone\":\"" + zone + "\",\"Slots\":" + slots
-                + "},\"Status\":{\"State\":\"" + state + "\",\"Sequence\":" + sequence + ",\"ColdRemainingS\":"
-                + coldRemainingS + "}}";
+        String address = "127.0.0.1:" + listener.getLocalPort();
+        return Wire.format("row.endpoint", service, address, bornMs, zone, slots, state, sequence, coldRemainingS);
     }
 
     /** Ends the endpoint: what it is working on is broken off. */
@@ -103,16 +101,16 @@
     /** Handles one request; by default runs it when a slot is free. */
     void answer(Socket socket, InputStream in, Http.Head head) throws IOException {
         long arrived = System.nanoTime();
-        String requestId = head.field("X-Cowsliplatch-Request-Id");
-        String target = head.field("X-Cowsliplatch-Target-Instance");
+        String requestId = head.field(Wire.REQUEST_ID);
+        String target = head.field(Wire.TARGET);
         byte[] body = Http.readBody(in, head, false);
         if (!target.isEmpty() && !target.equals(id)) {
-            reject(socket, requestId, "HTTP/1.1 421 Misdirected Request", "X-Cowsliplatch-Instance-Id: " + id);
+            reject(socket, requestId, "HTTP/1.1 421 Misdirected Request", Wire.INSTANCE_ID + ": " + id);
             return;
         }
         arrivals.add(arrived);
         if (!free.tryAcquire()) {
-            reject(socket, requestId, "HTTP/1.1 503 Service Unavailable", "X-Cowsliplatch-Not-Executed: 1");
+            reject(socket, requestId, "HTTP/1.1 503 Service Unavailable", Wire.NOT_EXECUTED + ": 1");
             return;
         }
         try {
@@ -135,8 +133,8 @@
                 .write(Http.message(
                         "HTTP/1.1 200 OK",
                         List.of(
-                                "X-Cowsliplatch-Request-Id: " + requestId,
-                                "X-Cowsliplatch-Response-Signature: signed-" + requestId,
+                                Wire.REQUEST_ID + ": " + requestId,
+                                Wire.SIGNATURE + ": signed-" + requestId,
                                 "Content-Length: " + body.length),
                         body));
     }
--- a/review/standin/PlannedStopCase.java
+++ b/review/standin/PlannedStopCase.java
@@ -7,17 +7,17 @@
 
 /**
  * SIGTERM of one of two machines while bookings come at a steady rate. A client that keeps the directory's answer for
- * three times its TtlS, as PROTOCOL.md allows, goes on to send to the machine that is stopping.
+ * three times its time to live, as PROTOCOL.md allows, goes on to send to the machine that is stopping.
  */
 final class PlannedStopCase extends Case {
-    /** GraceS of the deployment. */
+    /** Time from the SIGTERM to the SIGKILL. */
     private static final double GRACE_S = 6;
     /**
      * A cut request does not count if it was sent no later than this after the SIGTERM and runs in the last sixth of
-     * GraceS: 3 s, and a margin for the time until the signal is sent.
+     * that time: 3 s, and a margin for the time until the signal is sent.
      */
     private static final double EXCUSED_SENT_S = 3.05;
-    /** The stopping machine must have answered by then, since it is killed at GraceS. */
+    /** The stopping machine must have answered by then, since it is killed then. */
     private static final double ANSWERED_BY_S = 5.9;
 
     private static final long WORK_MS = 2_450;
--- a/review/standin/SilentChannelCase.java
+++ b/review/standin/SilentChannelCase.java
@@ -11,13 +11,13 @@
  * 13 endpoints report draining. Bookings that are sent once the machines are in touch again must not reach them.
  */
 final class SilentChannelCase extends Case {
-    /** ContactS of the deployment, 3 s: how long after the reset of its channels a machine is out of touch; and a margin. */
+    /** How long after the reset of its channels a machine is out of touch, 3 s, and a margin. */
     private static final double CONTACT_S = 3.05;
-    /** DrainS of the deployment. */
+    /** Time in which a leaving endpoint must get no more requests. */
     private static final double DRAIN_S = 2.5;
 
     private static final double GRACE_S = 6;
-    /** The endpoint serves on for DrainS and somewhat longer, then it exits. */
+    /** The endpoint serves on for somewhat longer than that, then it exits. */
     private static final double EXIT_AFTER_S = 4.4;
 
     /** Share of the endpoints that leave at once: 2 of 13, as with scale_in of 0.15. */
--- a/review/standin/StoreStandIn.java
+++ b/review/standin/StoreStandIn.java
@@ -100,14 +100,15 @@
                 Map<String, String> query = query(target.length > 1 ? target[1] : "");
                 String answer;
                 int status = 200;
-                switch (target[0]) {
-                    case "/cowsliplatch/rows-get" -> answer = get(query);
-                    case "/cowsliplatch/rows-feed" -> answer = feed(query);
-                    case "/cowsliplatch/rows-tx" -> answer = write(new String(body, StandardCharsets.UTF_8));
-                    default -> {
-                        status = 404;
-                        answer = "{}";
-                    }
+                if (target[0].equals(Wire.text("call.get"))) {
+                    answer = get(query);
+                } else if (target[0].equals(Wire.text("call.feed"))) {
+                    answer = feed(query);
+                } else if (target[0].equals(Wire.text("call.write"))) {
+                    answer = write(new String(body, StandardCharsets.UTF_8));
+                } else {
+                    status = 404;
+                    answer = "{}";
                 }
                 byte[] bytes = answer.getBytes(StandardCharsets.UTF_8);
                 socket.getOutputStream()
@@ -140,13 +141,13 @@
                 .values()) {
             rows.add(row(change));
         }
-        return "{\"Rows\":[" + String.join(",", rows) + "],\"HasMore\":false," + end() + "}";
+        return "{\"Rows\":[" + String.join(",", rows) + "],\"" + Wire.text("get.more") + "\":false," + end() + "}";
     }
 
     private synchronized String feed(Map<String, String> query) throws InterruptedException {
         String table = query.get("Table");
         long after = Long.parseLong(query.get("after"));
-        long until = System.nanoTime() + Long.parseLong(query.getOrDefault("WaitMs", "0")) * 1_000_000;
+        long until = System.nanoTime() + Long.parseLong(query.getOrDefault(Wire.text("feed.wait"), "0")) * 1_000_000;
         feedsBegun.merge(table, 1, Integer::sum);
         while (true) {
             List<String> rows = new ArrayList<>();
