Accept a request during a planned stop only if it ends before it

Callers of an instance that was being stopped got 502 or a closed connection for bookings at which a backend server was at work (LOST).

Cause: requests were accepted for 55 % of the grace period, however long they may run, and everything was closed 0.5 s before its end.

Change: once the directory's answers have expired, a request whose deadline comes after the end of serving is refused at once with 503, not run, and without Retry-After, since other instances can serve it. As each other request is answered by its deadline, none of them is in flight when the connections are closed; the close waits for those in flight up to 0.2 s before the end of the grace period. The planned stop of the product's own interface had the same cause (its time limit) and refuses in the same way; the refusal of an idempotency key is recorded. It also refuses new requests before it closes its listeners. Refusals, and responses after a second attempt, had lost Connection: close; they keep it.

--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/DeployedEntry.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/DeployedEntry.java
@@ -365,9 +365,8 @@
                 .with("inFlight", steering.inFlight())
                 .with("graceMs", settings.grace().toMillis())
                 .write(DecisionLog.Weight.NOTABLE);
-        steering.leave();
+        new GracefulStop(settings.grace(), settings.lookupTtl(), ticker, steering, timers, this::finishStop).begin();
         duties.announce();
-        timers.execute(new GracefulStop(settings.grace(), ticker, steering, timers, this::finishStop));
         return stopped;
     }
 
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/PlannedStop.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/PlannedStop.java
@@ -1,5 +1,6 @@
 package org.cowsliplatch.internal.entry;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -12,6 +13,7 @@
 import org.cowsliplatch.internal.peer.PeerMessage;
 import org.cowsliplatch.internal.peer.PeerSender;
 import org.cowsliplatch.internal.proxy.CallerHandler;
+import org.cowsliplatch.internal.proxy.ServingWindow;
 import org.cowsliplatch.internal.util.Rendezvous;
 import org.cowsliplatch.internal.util.Ticker;
 import org.cowsliplatch.settings.Settings;
@@ -39,9 +41,10 @@
     private final Membership membership;
     private final CallerHandler callerHandler;
     private final Set<String> acknowledgedDomains = new HashSet<>();
-    private long startNanos = Long.MIN_VALUE;
+    private long startNanos;
     private long sentNanos = Long.MIN_VALUE;
     private @Nullable String successor;
+    private boolean refusesAll;
 
     PlannedStop(
             Settings.Limits limits,
@@ -58,12 +61,16 @@
         this.callerHandler = callerHandler;
     }
 
+    /** Begins the stop. */
+    synchronized void begin() {
+        startNanos = ticker.nanos();
+        Duration serving = limits.stop().minus(GracefulStop.RESPONSE_TIME);
+        callerHandler.leave(ServingWindow.until(startNanos + serving.toNanos()));
+    }
+
     /** Advances the stop as far as possible now; returns whether it is complete or has exceeded its limit. */
     synchronized boolean advance() {
         long nowNanos = ticker.nanos();
-        if (startNanos == Long.MIN_VALUE) {
-            startNanos = nowNanos;
-        }
         long elapsedNanos = nowNanos - startNanos;
         if (elapsedNanos > limits.stop().toNanos()) {
             LOG.warnf("planned stop exceeded its time limit; aborting %d requests in flight", callerHandler.inFlight());
@@ -72,7 +79,17 @@
         if (elapsedNanos < limits.lookupTtl().toNanos()) {
             return false;
         }
-        return handOver(nowNanos) && callerHandler.inFlight() == 0;
+        if (!handOver(nowNanos) || callerHandler.inFlight() > 0) {
+            return false;
+        }
+        if (!refusesAll) {
+            // A request that arrives while the listeners close would be cut off; the next call finds those begun
+            // before.
+            refusesAll = true;
+            callerHandler.leave(ServingWindow.until(nowNanos));
+            return false;
+        }
+        return true;
     }
 
     /** Records a peer's acknowledgement that it took over the keys of a domain. */
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/RunningEntry.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/RunningEntry.java
@@ -359,7 +359,7 @@
         }
         leaving = true;
         LOG.infof("planned stop of %s begins", settings.instance());
-        callerHandler.leave();
+        plannedStop.begin();
         duties.announce();
         timers.execute(this::continueStop);
     }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/CallerHandler.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/CallerHandler.java
@@ -34,9 +34,9 @@
         this.steering = new SteeringHandler(context);
     }
 
-    /** Starts sending {@code Connection: close} on HTTP/1.1 responses. */
-    public void leave() {
-        steering.leave();
+    /** Begins a planned stop, or changes its times, see {@link SteeringHandler#leave}. */
+    public void leave(ServingWindow window) {
+        steering.leave(window);
     }
 
     /** Returns the number of requests whose response is not complete. */
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Exchange.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Exchange.java
@@ -71,6 +71,8 @@
     private int unsentAttempts;
     private boolean anyAttemptMayHaveRun;
     private boolean spilledOver;
+    /** Whether a planned stop that had begun when the request arrived leaves too little time for it. */
+    private boolean refusedByStop;
 
     Exchange(EntryContext context, Route route, Pool pool, Request request, Response response, Callback callback) {
         this.context = context;
@@ -119,7 +121,17 @@
         return "";
     }
 
-    void start() {
+    /**
+     * Starts to process the request.
+     *
+     * @param stop when requests are served during a planned stop, null if none has begun
+     */
+    void start(@Nullable ServingWindow stop) {
+        refusedByStop = stop != null && !stop.admits(startNanos, deadlineNanos);
+        if (refusedByStop && !idempotency.hasKey()) {
+            refuseForStop();
+            return;
+        }
         request.addFailureListener(this::onCallerDisconnect);
         context.disconnectMonitor().watch(request, this::onCallerDisconnect);
         retryBudget.deposit();
@@ -177,8 +189,26 @@
         return requestLine;
     }
 
+    /** Returns whether a planned stop that had begun when the request arrived leaves too little time for it. */
+    boolean isRefusedByStop() {
+        return refusedByStop;
+    }
+
+    /** Refuses the request without {@code Retry-After}, since other entry instances can serve it at once. */
+    private void refuseForStop() {
+        context.metrics().refusal(route.rank(), "STOPPING");
+        finish(Problem.of(
+                HttpStatus.SERVICE_UNAVAILABLE_503,
+                Outcome.NOT_RUN,
+                "this entry instance stops before the deadline of the request; send it to another entry instance"));
+    }
+
     /** Requests a slot, and sends the request once it is granted. */
     void acquire() {
+        if (refusedByStop) {
+            refuseForStop();
+            return;
+        }
         if (callerDisconnected) {
             finish(Problem.of(
                     HttpStatus.REQUEST_TIMEOUT_408,
@@ -561,7 +591,7 @@
 
     /** Starts another attempt, after {@link #shouldRetry} returned true. */
     void retry() {
-        response.reset();
+        Headers.reset(response);
         context.metrics().retry(pool.name());
         acquire();
     }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Headers.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Headers.java
@@ -8,6 +8,7 @@
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.server.Response;
 
 /** Names of HTTP headers, and the filter for hop-by-hop headers. */
 public final class Headers {
@@ -58,6 +59,15 @@
         return endToEnd;
     }
 
+    /** Discards what was prepared of a response, except for its {@code Connection} header, which holds for any response. */
+    static void reset(Response response) {
+        HttpField connection = response.getHeaders().getField(HttpHeader.CONNECTION);
+        response.reset();
+        if (connection != null) {
+            response.getHeaders().put(connection);
+        }
+    }
+
     /** Returns whether a header is set to {@code yes}. */
     public static boolean isYes(HttpFields headers, String name) {
         return "yes".equals(headers.get(name));
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/IdempotencyHandler.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/IdempotencyHandler.java
@@ -25,6 +25,13 @@
         this.exchange = exchange;
     }
 
+    /** Returns whether the request has an idempotency key that counts. */
+    boolean hasKey() {
+        return !exchange.route().idempotent()
+                && exchange.requestHeaders().contains(Headers.IDEMPOTENCY_KEY)
+                && context.keys().isPresent();
+    }
+
     /** Returns whether this exchange executes the request of a key and must record the result. */
     boolean isRecording() {
         return record != null;
@@ -40,12 +47,12 @@
 
     /** Executes the request, waits for another copy of it, forwards it to the owner of its key, or rejects it. */
     void start() {
-        String header = exchange.requestHeaders().get(Headers.IDEMPOTENCY_KEY);
-        if (exchange.route().idempotent() || header == null || context.keys().isEmpty()) {
+        if (!hasKey()) {
             exchange.acquire();
             return;
         }
-        Optional<IdempotencyKey> key = IdempotencyKey.Parser.parse(header);
+        Optional<IdempotencyKey> key =
+                IdempotencyKey.Parser.parse(exchange.requestHeaders().get(Headers.IDEMPOTENCY_KEY));
         if (key.isEmpty()) {
             exchange.finish(Problem.of(
                     HttpStatus.BAD_REQUEST_400,
@@ -120,6 +127,10 @@
 
     /** Responds with the result of the copy that is being, or was, executed. */
     private void awaitDuplicate(CompletableFuture<RecordedOutcome> duplicate) {
+        if (exchange.isRefusedByStop()) {
+            refuseForStop();
+            return;
+        }
         var unused = duplicate
                 .copy()
                 .orTimeout(Math.max(1, exchange.remainingMs()), TimeUnit.MILLISECONDS)
@@ -173,6 +184,15 @@
         forwardTo(owner);
     }
 
+    /** Refuses a request whose outcome only another copy, or the owner of the key, can tell. */
+    private void refuseForStop() {
+        exchange.finish(Problem.of(
+                HttpStatus.SERVICE_UNAVAILABLE_503,
+                Outcome.UNKNOWN,
+                "this entry instance stops before the deadline of the request, and another copy of it may have been "
+                        + "executed; retry with the same key at another entry instance"));
+    }
+
     private void ownerUnavailable() {
         context.metrics().keyClaim("owner-gone");
         exchange.finish(Problem.of(
@@ -187,6 +207,10 @@
             ownerUnavailable();
             return;
         }
+        if (exchange.isRefusedByStop()) {
+            refuseForStop();
+            return;
+        }
         context.metrics().keyClaim("forwarded");
         new KeyOwnerForwarder(context, exchange, owner.get().callerAddress()).send();
     }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Problem.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Problem.java
@@ -35,7 +35,7 @@
 
     /** Writes this problem; the response must not be committed. */
     public void write(Response response, Callback callback) {
-        response.reset();
+        Headers.reset(response);
         response.setStatus(status);
         response.getHeaders().put(HttpHeader.CONTENT_TYPE, MEDIA_TYPE);
         response.getHeaders().put(HttpHeader.CACHE_CONTROL, "no-store");
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/SteeringHandler.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/SteeringHandler.java
@@ -22,32 +22,22 @@
 public final class SteeringHandler extends Handler.Abstract.NonBlocking {
     static final String NO_TABLES = "no routing tables are in force on this entry instance yet";
 
-    /** Phase of a planned stop, as callers see it. */
-    private enum Stage {
-        SERVING,
-        /** Requests are served; responses ask HTTP/1.1 callers to close their connections. */
-        LEAVING,
-        /** New requests are refused, since there is no time left to serve them. */
-        CLOSED
-    }
-
     private final EntryContext context;
     private final PoolSelector splits = new PoolSelector();
     private final AtomicInteger inFlight = new AtomicInteger();
-    private volatile Stage stage = Stage.SERVING;
+    /** When new requests are still served during a planned stop; null if none has begun. */
+    private volatile @Nullable ServingWindow stop;
 
     public SteeringHandler(EntryContext context) {
         this.context = context;
     }
 
-    /** Starts sending {@code Connection: close} on HTTP/1.1 responses. */
-    public void leave() {
-        stage = Stage.LEAVING;
-    }
-
-    /** Refuses new requests; those in flight continue. */
-    public void refuseNew() {
-        stage = Stage.CLOSED;
+    /**
+     * Begins a planned stop, or changes its times: new requests outside the window are refused, and responses ask HTTP/1.1
+     * callers to close their connections. Requests in flight continue.
+     */
+    public void leave(ServingWindow window) {
+        stop = window;
     }
 
     /** Returns the number of requests whose response is not complete. */
@@ -60,7 +50,7 @@
         inFlight.incrementAndGet();
         Request.addCompletionListener(request, failure -> inFlight.decrementAndGet());
         boolean http1 = request.getConnectionMetaData().getHttpVersion() == HttpVersion.HTTP_1_1;
-        if (stage != Stage.SERVING && http1) {
+        if (stop != null && http1) {
             response.getHeaders().put(HttpHeader.CONNECTION, "close");
         }
     }
@@ -74,13 +64,6 @@
 
     /** Proxies a request that was counted by {@link #begin}. */
     void steer(Request request, Response response, Callback callback) {
-        if (stage == Stage.CLOSED) {
-            Problem.unavailable(
-                            Outcome.NOT_RUN,
-                            "this entry instance is shutting down; send the request to another entry instance")
-                    .write(response, callback);
-            return;
-        }
         String rawPath = request.getHttpURI().getPath();
         String path = rawPath == null ? "/" : rawPath;
         SteeringView view = context.view().get();
@@ -108,7 +91,7 @@
             rejection.write(response, callback);
             return;
         }
-        new Exchange(context, route.get(), pool, request, response, callback).start();
+        new Exchange(context, route.get(), pool, request, response, callback).start(stop);
     }
 
     private @Nullable Problem validate(Request request) {
