Frame each response so that one that is cut off is incomplete

Callers of an instance that was being stopped got status 200, the signature and a part of the body, and an orderly end (MIXED).

Cause: the HTTP server ends a body of unknown length with the connection if that is not kept, as during a planned stop or when the caller asks for it, and closes it in order also when the response failed.

Change: ResponseFraming sends a response of unknown length in chunks to every HTTP/1.1 caller. For an HTTP/1.0 caller, SO_LINGER is 0 until the whole body is written, so that any earlier end is a reset.

--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Exchange.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Exchange.java
@@ -57,6 +57,7 @@
     private final IdempotencyHandler idempotency;
     private RequestBody body = new RequestBody.Buffered(new byte[0]);
     private @Nullable ResponseSink sink;
+    private ResponseFraming framing = ResponseFraming.EXPLICIT;
     private volatile SlotSource.@Nullable PendingSlot ticket;
     private volatile @Nullable Attempt attempt;
     private volatile boolean callerDisconnected;
@@ -470,6 +471,8 @@
     ResponseSink openSink(int status, HttpFields headers, @Nullable FlowPacer pacer) {
         response.setStatus(status);
         response.getHeaders().add(Headers.endToEnd(headers));
+        framing = ResponseFraming.of(request, response);
+        framing.begin(request, response);
         ResponseSink newSink = new ResponseSink(response, idempotency.isRecording(), pacer);
         sink = newSink;
         return newSink;
@@ -492,6 +495,7 @@
         if (responseSink != null && responseSink.isCallerDisconnected()) {
             callback.failed(new Attempt.CallerDisconnectedException(null));
         } else {
+            framing.complete(request);
             callback.succeeded();
         }
     }
