Grant slots only when the other entry instances are known

Cold backend servers of a region that had lost power got several times the requests that they tolerate (FAILBACK).

Cause: an entry instance that had just started knew no other, took itself for the only one, and was the grantor of every group; nothing kept it from serving before it was ready.

It connects as soon as it has read the list. Until then it is not ready, is named by no directory, is no candidate for a grantor, and uses neither a private share nor the slack of retry budgets. Its requests go to active grantors, and are refused at once if there are none. Peers learn that it is active before it acts so. As an instance describes itself only to those that it has heard of, of two that start together one waits for the other, so that one grantor is left. Listed instances count as cut off for rate limits for 5 s (RateShare). The product's own interface has the same lifecycle.

--- a/org.cowsliplatch.benchmarks/src/main/java/org/cowsliplatch/benchmarks/CapacityReport.java
+++ b/org.cowsliplatch.benchmarks/src/main/java/org/cowsliplatch/benchmarks/CapacityReport.java
@@ -26,6 +26,7 @@
 import org.cowsliplatch.internal.limit.SlotOutcome;
 import org.cowsliplatch.internal.limit.SlotRequest;
 import org.cowsliplatch.internal.member.Member;
+import org.cowsliplatch.internal.member.MemberPhase;
 import org.cowsliplatch.internal.peer.PeerCodec;
 import org.cowsliplatch.internal.peer.PeerMessage;
 import org.cowsliplatch.internal.steer.AddressSiteMap;
@@ -289,7 +290,7 @@
                     "10.20.30.40:8080",
                     "10.20.30.40:8081",
                     "10.20.30.40:8082",
-                    false,
+                    MemberPhase.ACTIVE,
                     1,
                     "0".repeat(64),
                     "entry-svealand-1~0123456789abcdef~1f~AbCdEfGhIjKl",
--- a/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/FollowingTest.java
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/FollowingTest.java
@@ -17,6 +17,7 @@
 import org.cowsliplatch.internal.follow.ChangeRelay;
 import org.cowsliplatch.internal.follow.StoreTableWatcher;
 import org.cowsliplatch.internal.member.Member;
+import org.cowsliplatch.internal.member.MemberPhase;
 import org.cowsliplatch.internal.peer.PeerMessage;
 import org.cowsliplatch.internal.steer.EndpointRegistry;
 import org.cowsliplatch.internal.telemetry.DecisionLog;
@@ -140,7 +141,7 @@
     }
 
     private static Member member(String name) {
-        return new Member(name, "0", "r", "z", "", "", "", false, 1, "", "", List.of(), List.of());
+        return new Member(name, "0", "r", "z", "", "", "", MemberPhase.ACTIVE, 1, "", "", List.of(), List.of());
     }
 
     private void relayChanges(String reader, long after, long version, RowStore.Row... rows) {
--- a/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/PeerTransportTest.java
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/PeerTransportTest.java
@@ -8,11 +8,13 @@
 import java.net.ServerSocket;
 import java.util.List;
 import java.util.concurrent.BrokenBarrierException;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.CyclicBarrier;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.cowsliplatch.internal.member.Member;
+import org.cowsliplatch.internal.member.MemberPhase;
 import org.cowsliplatch.internal.peer.PeerListener;
 import org.cowsliplatch.internal.peer.PeerMessage;
 import org.cowsliplatch.internal.peer.PeerTransport;
@@ -32,6 +34,12 @@
     /** Records the table version in the latest description of a peer. */
     private static final class RecordingListener implements PeerListener {
         final AtomicLong version = new AtomicLong(-1);
+        final List<String> failedAddresses = new CopyOnWriteArrayList<>();
+
+        @Override
+        public void connectionFailed(String address) {
+            failedAddresses.add(address);
+        }
 
         @Override
         public void memberDescribed(Member member) {
@@ -48,7 +56,7 @@
     }
 
     private static Member member(String name, long version) {
-        return new Member(name, "0", "r", "z", "", "", "", false, version, "", "", List.of(), List.of());
+        return new Member(name, "0", "r", "z", "", "", "", MemberPhase.ACTIVE, version, "", "", List.of(), List.of());
     }
 
     @Test
@@ -72,6 +80,19 @@
         assertThat(listener.version.get()).isEqualTo(ROUNDS);
     }
 
+    @Test
+    void refusedConnectionIsReported() throws Exception {
+        RecordingListener listener = new RecordingListener();
+        ServerSocket closed = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+        String address = "127.0.0.1:" + closed.getLocalPort();
+        closed.close();
+        try (PeerTransport sender = new PeerTransport(() -> member("a", 0), Ticker.system(), listener)) {
+            sender.connect(List.of(address));
+
+            Await.until("the refusal is reported", () -> listener.failedAddresses.equals(List.of(address)));
+        }
+    }
+
     @Test
     void concurrentCallsOpenOneConnection() throws Exception {
         try (ServerSocket server = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
--- a/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/PlacementTest.java
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/PlacementTest.java
@@ -18,6 +18,7 @@
 import org.cowsliplatch.internal.limit.SlotOutcome;
 import org.cowsliplatch.internal.limit.SlotRequest;
 import org.cowsliplatch.internal.member.Member;
+import org.cowsliplatch.internal.member.MemberPhase;
 import org.cowsliplatch.internal.place.AffinityMap;
 import org.cowsliplatch.internal.steer.EndpointDirectory;
 import org.cowsliplatch.internal.steer.EntryAddressSelector;
@@ -106,8 +107,8 @@
             }
             for (int i = 0; i < 4; i++) {
                 String name = region + "-entry-" + i;
-                members.add(
-                        new Member(name, "0", region, region, name, "", "", false, 1, "", "", List.of(), List.of()));
+                members.add(new Member(
+                        name, "0", region, region, name, "", "", MemberPhase.ACTIVE, 1, "", "", List.of(), List.of()));
             }
         });
         Pool pool = new Pool("p", "p", 64, new TreeMap<>(), Duration.ZERO, 10);
--- a/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/RateLimitSimulation.java
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/RateLimitSimulation.java
@@ -20,6 +20,7 @@
 import org.cowsliplatch.internal.limit.SlotRequest;
 import org.cowsliplatch.internal.limit.SlotSource;
 import org.cowsliplatch.internal.member.Member;
+import org.cowsliplatch.internal.member.MemberPhase;
 import org.cowsliplatch.internal.member.Membership;
 import org.cowsliplatch.internal.peer.PeerMessage;
 import org.cowsliplatch.internal.steer.EndpointDirectory;
@@ -205,7 +206,20 @@
 
     private static Member member(Node node) {
         String incarnation = Integer.toString(node.incarnation);
-        return new Member(node.name, incarnation, "svealand", "a", "", "", "", false, 1, "", "", List.of(), List.of());
+        return new Member(
+                node.name,
+                incarnation,
+                "svealand",
+                "a",
+                "",
+                "",
+                "",
+                MemberPhase.ACTIVE,
+                1,
+                "",
+                "",
+                List.of(),
+                List.of());
     }
 
     private void heartbeat(Node node, int incarnation) {
--- a/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/RestoredStoreFollowingTest.java
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/RestoredStoreFollowingTest.java
@@ -16,6 +16,7 @@
 import org.cowsliplatch.internal.follow.RestoredRows;
 import org.cowsliplatch.internal.follow.StoreTableWatcher;
 import org.cowsliplatch.internal.member.Member;
+import org.cowsliplatch.internal.member.MemberPhase;
 import org.cowsliplatch.internal.peer.PeerMessage;
 import org.cowsliplatch.internal.telemetry.DecisionLog;
 import org.cowsliplatch.internal.util.Rendezvous;
@@ -195,7 +196,8 @@
             }
         }
         relay.updateMembers(names.stream()
-                .map(name -> new Member(name, "0", "r", "z", "", "", "", false, 1, "", "", List.of(), List.of()))
+                .map(name -> new Member(
+                        name, "0", "r", "z", "", "", "", MemberPhase.ACTIVE, 1, "", "", List.of(), List.of()))
                 .toList());
         List<String> readers = Rendezvous.order("store/r", names).subList(0, 3);
         readers.forEach(relay::markAlive);
--- a/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/SlotBrokerTest.java
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/SlotBrokerTest.java
@@ -21,6 +21,7 @@
 import org.cowsliplatch.internal.limit.SlotRequest;
 import org.cowsliplatch.internal.limit.SlotSource;
 import org.cowsliplatch.internal.member.Member;
+import org.cowsliplatch.internal.member.MemberPhase;
 import org.cowsliplatch.internal.peer.PeerMessage;
 import org.cowsliplatch.internal.steer.EndpointDirectory;
 import org.cowsliplatch.internal.steer.SteeringView;
@@ -81,9 +82,11 @@
     }
 
     private static List<Member> members(List<String> names) {
-        return names.stream()
-                .map(name -> new Member(name, "0", "svealand", "a", "", "", "", false, 1, "", "", List.of(), List.of()))
-                .toList();
+        return names.stream().map(name -> member(name, MemberPhase.ACTIVE)).toList();
+    }
+
+    private static Member member(String name, MemberPhase phase) {
+        return new Member(name, "0", "svealand", "a", "", "", "", phase, 1, "", "", List.of(), List.of());
     }
 
     private void deliverAll() {
@@ -131,6 +134,38 @@
                 .containsExactly(23);
     }
 
+    @Test
+    void instanceThatKnowsNoActiveOneGrantsNothing() {
+        String starting = names.get(0);
+        broker(starting).updateView(view.with(List.of(member(starting, MemberPhase.JOINING))));
+        acquire(starting);
+        assertThat(refusals).containsExactly(Refusal.NO_GRANTOR);
+
+        broker(starting).updateView(view.with(List.of(member(starting, MemberPhase.ACTIVE))));
+        acquire(starting);
+
+        assertThat(held).hasSize(1);
+    }
+
+    @Test
+    void startingInstanceUsesTheGrantorOfTheOthersAndNoFallbackShare() {
+        String starting = names.get(0);
+        List<Member> members = new ArrayList<>(members(names));
+        members.set(0, member(starting, MemberPhase.JOINING));
+        brokers.values().forEach(broker -> broker.updateView(view.with(members)));
+        deliverAll();
+        acquire(starting);
+        deliverAll();
+        assertThat(held).hasSize(1);
+
+        failed.addAll(names.subList(1, ENTRIES));
+        acquire(starting);
+        ticker.advanceMs(100);
+        broker(starting).tick();
+
+        assertThat(refusals).containsExactly(Refusal.NO_GRANTOR);
+    }
+
     private SlotBroker broker(String entry) {
         SlotBroker broker = brokers.get(entry);
         if (broker == null) {
--- a/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/Member.java
+++ b/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/Member.java
@@ -508,6 +508,21 @@
     return knownPeers_.getByteString(index);
   }
 
+  public static final int JOINING_FIELD_NUMBER = 14;
+  private boolean joining_ = false;
+  /**
+   * <pre>
+   * It has just started and takes over no duties yet; older builds ignore this.
+   * </pre>
+   *
+   * <code>bool joining = 14;</code>
+   * @return The joining.
+   */
+  @java.lang.Override
+  public boolean getJoining() {
+    return joining_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -561,6 +576,9 @@
     for (int i = 0; i < knownPeers_.size(); i++) {
       com.google.protobuf.GeneratedMessage.writeString(output, 13, knownPeers_.getRaw(i));
     }
+    if (joining_ != false) {
+      output.writeBool(14, joining_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -616,6 +634,10 @@
       size += dataSize;
       size += 1 * getKnownPeersList().size();
     }
+    if (joining_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(14, joining_);
+    }
     return size;
   }
   @java.lang.Override
@@ -666,6 +688,8 @@
         .equals(other.getAdoptedDomainsList())) return false;
     if (!getKnownPeersList()
         .equals(other.getKnownPeersList())) return false;
+    if (getJoining()
+        != other.getJoining()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -709,6 +733,9 @@
       hash = (37 * hash) + KNOWN_PEERS_FIELD_NUMBER;
       hash = (53 * hash) + getKnownPeersList().hashCode();
     }
+    hash = (37 * hash) + JOINING_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getJoining());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -855,6 +882,7 @@
           com.google.protobuf.LazyStringArrayList.emptyList();
       knownPeers_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
+      joining_ = false;
       return this;
     }
 
@@ -929,6 +957,9 @@
         knownPeers_.makeImmutable();
         result.knownPeers_ = knownPeers_;
       }
+      if (((from_bitField0_ & 0x00002000) != 0)) {
+        result.joining_ = joining_;
+      }
     }
 
     @java.lang.Override
@@ -1014,6 +1045,9 @@
         }
         onChanged();
       }
+      if (other.getJoining() != false) {
+        setJoining(other.getJoining());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1103,6 +1137,11 @@
               knownPeers_.add(input.readStringRequireUtf8());
               break;
             } // case 106
+            case 112: {
+              joining_ = input.readBool();
+              bitField0_ |= 0x00002000;
+              break;
+            } // case 112
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2054,6 +2093,50 @@
       return this;
     }
 
+    private boolean joining_ ;
+    /**
+     * <pre>
+     * It has just started and takes over no duties yet; older builds ignore this.
+     * </pre>
+     *
+     * <code>bool joining = 14;</code>
+     * @return The joining.
+     */
+    @java.lang.Override
+    public boolean getJoining() {
+      return joining_;
+    }
+    /**
+     * <pre>
+     * It has just started and takes over no duties yet; older builds ignore this.
+     * </pre>
+     *
+     * <code>bool joining = 14;</code>
+     * @param value The joining to set.
+     * @return This builder for chaining.
+     */
+    public Builder setJoining(boolean value) {
+
+      joining_ = value;
+      bitField0_ |= 0x00002000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * It has just started and takes over no duties yet; older builds ignore this.
+     * </pre>
+     *
+     * <code>bool joining = 14;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearJoining() {
+      bitField0_ = (bitField0_ & ~0x00002000);
+      joining_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cowsliplatch.peer.Member)
   }
 
--- a/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/MemberOrBuilder.java
+++ b/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/MemberOrBuilder.java
@@ -179,4 +179,14 @@
    */
   com.google.protobuf.ByteString
       getKnownPeersBytes(int index);
+
+  /**
+   * <pre>
+   * It has just started and takes over no duties yet; older builds ignore this.
+   * </pre>
+   *
+   * <code>bool joining = 14;</code>
+   * @return The joining.
+   */
+  boolean getJoining();
 }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/DeployedEntry.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/DeployedEntry.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.HexFormat;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -24,6 +25,7 @@
 import org.cowsliplatch.internal.limit.RetryBudgets;
 import org.cowsliplatch.internal.limit.SlotBroker;
 import org.cowsliplatch.internal.member.Member;
+import org.cowsliplatch.internal.member.MemberLifecycle;
 import org.cowsliplatch.internal.member.Membership;
 import org.cowsliplatch.internal.peer.PeerListener;
 import org.cowsliplatch.internal.peer.PeerMessage;
@@ -65,8 +67,6 @@
     private static final int MAX_HEADER_BYTES = 64 * 1024;
     /** Time that connection set-up, request and response spend on the way between caller and entry instance. */
     private static final Duration CALLER_DELAY = Duration.ofMillis(40);
-    /** Longest time in ns that readiness waits until a peer is found or the store lists none. */
-    private static final long MAX_JOIN_NANOS = 2_000_000_000L;
 
     private static final double NANOS_PER_SECOND = 1e9;
 
@@ -96,7 +96,7 @@
     private final List<HttpListener> listeners = new ArrayList<>();
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
     private final AtomicBoolean closed = new AtomicBoolean();
-    private volatile boolean leaving;
+    private final MemberLifecycle lifecycle;
     private volatile boolean wasReady;
     private volatile int maxMembers;
     private volatile long tablesSinceNanos = startNanos;
@@ -109,6 +109,7 @@
         this.tracing = new Tracing(settings.instance(), Optional.empty());
         SplittableRandom random = new SplittableRandom(new SecureRandom().nextLong());
         this.membership = new Membership(settings.instance(), ticker);
+        this.lifecycle = new MemberLifecycle(ticker);
         this.transport = new PeerTransport(this::self, ticker, this);
         this.broker = new SlotBroker(
                 settings.instance(),
@@ -130,7 +131,8 @@
                 views,
                 decisions,
                 relay,
-                Addresses.text(settings.listen().peer()));
+                Addresses.text(settings.listen().peer()),
+                this::onPeersListed);
         this.tableSync = new TableSync(log, transport, store.documents(), () -> metrics.alarm("table-regression"));
         this.headroom = new Headroom(ticker, Headroom.AGGRESSIVE_REQUESTS_PER_FREE_SLOT);
         this.duties = new PeerDuties(this::self, membership, transport, views, broker, headroom, tableSync);
@@ -250,6 +252,9 @@
      * ever known at once if that is more. An instance that can't be reached may still use its share.
      */
     private double retrySharers() {
+        if (lifecycle.isJoining()) {
+            return Double.POSITIVE_INFINITY;
+        }
         maxMembers = Math.max(maxMembers, views.current().members().size());
         return Math.max(settings.repeats().sharers(), maxMembers);
     }
@@ -264,7 +269,7 @@
                 Addresses.text(settings.listen().caller()),
                 Addresses.text(settings.listen().peer()),
                 Addresses.text(settings.listen().metrics()),
-                leaving,
+                lifecycle.phase(),
                 version.number(),
                 version.number() == 0 ? "" : version.digest(),
                 "",
@@ -288,6 +293,7 @@
 
     private void tick() {
         broker.tick();
+        joinIfKnown();
         boolean ready = isReady();
         if (ready != wasReady) {
             wasReady = ready;
@@ -295,6 +301,29 @@
         }
     }
 
+    /** Takes over duties as soon as the other entry instances are known. */
+    private void joinIfKnown() {
+        if (!lifecycle.tryJoin()) {
+            return;
+        }
+        decisions
+                .line("joined")
+                .with("peers", membership.peers().size())
+                .with("listed", store.peerAddresses().size())
+                .with("ms", TimeUnit.NANOSECONDS.toMillis(ticker.nanos() - startNanos))
+                .write(DecisionLog.Weight.NOTABLE);
+        duties.announce();
+    }
+
+    private void onPeersListed(Map<String, String> addressByName) {
+        if (!lifecycle.isJoining()) {
+            return;
+        }
+        broker.expectMembers(addressByName.keySet());
+        lifecycle.listed(addressByName.values());
+        duties.connect(addressByName.values());
+    }
+
     private void heartbeat() {
         for (Member expired : membership.expire()) {
             decisions
@@ -308,14 +337,21 @@
         duties.heartbeat(store.peerAddresses());
     }
 
+    @Override
+    public void connectionFailed(String address) {
+        lifecycle.settle(address);
+    }
+
     @Override
     public void memberDescribed(Member member) {
+        lifecycle.settle(member.peerAddress());
         if (duties.described(member)) {
             decisions
                     .line("peer-described")
                     .with("peer", member.name())
                     .with("incarnation", member.incarnation())
                     .with("leaving", member.leaving())
+                    .with("phase", member.phase().name())
                     .with("version", member.tableVersion())
                     .write(DecisionLog.Weight.NOTABLE);
         }
@@ -342,24 +378,21 @@
     }
 
     /**
-     * Returns whether requests are served: the endpoints and the newest table version known are loaded, the search for
-     * peers is over, and no planned stop has begun.
+     * Returns whether requests are served: the endpoints and the newest table version known are loaded, the other entry
+     * instances are known, and no planned stop has begun.
      */
     public boolean isReady() {
         // The view's version: the log is updated first, and until the view follows, requests would find no tables.
         long localVersion = views.current().tables().number();
         boolean upToDate = membership.peers().stream().allMatch(peer -> peer.tableVersion() <= localVersion);
-        boolean joined =
-                !membership.peers().isEmpty() || store.hasNoPeers() || ticker.nanos() - startNanos > MAX_JOIN_NANOS;
-        return localVersion > 0 && upToDate && joined && store.isLoaded() && !leaving;
+        return localVersion > 0 && upToDate && store.isLoaded() && lifecycle.isActive();
     }
 
     /** Begins a planned stop; the result completes when everything is closed. */
     public CompletableFuture<Void> drain() {
-        if (leaving) {
+        if (!lifecycle.leave()) {
             return stopped;
         }
-        leaving = true;
         decisions
                 .line("stop")
                 .with("inFlight", steering.inFlight())
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/PeerDuties.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/PeerDuties.java
@@ -66,10 +66,20 @@
         transport.heartbeat(loads);
     }
 
-    /** Publishes a change of this entry instance's description, without waiting for the next heartbeat. */
+    /** Connects to listed peers, without waiting for the next heartbeat. */
+    void connect(Collection<String> listedAddresses) {
+        Set<String> addresses = new HashSet<>(listedAddresses);
+        addresses.remove(self.get().peerAddress());
+        transport.connect(addresses);
+    }
+
+    /**
+     * Publishes a change of this entry instance's description, without waiting for the next heartbeat. Peers are told before
+     * it takes effect here, so that they hand duties over before this entry instance takes them.
+     */
     void announce() {
-        views.updateMembers(membership.peers(), self.get());
         transport.heartbeat(broker.loads());
+        views.updateMembers(membership.peers(), self.get());
     }
 
     /** Stores a peer's description; returns whether it is new or has changed. */
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/PlannedStop.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/PlannedStop.java
@@ -127,7 +127,7 @@
     private @Nullable String chooseSuccessor() {
         if (successor == null) {
             List<String> candidates = membership.peers().stream()
-                    .filter(member -> !member.leaving() && member.tableVersion() > 0)
+                    .filter(member -> member.isActive() && member.tableVersion() > 0)
                     .map(Member::name)
                     .toList();
             Optional<String> chosen = Rendezvous.owner(keys.domain(), candidates);
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/RunningEntry.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/RunningEntry.java
@@ -24,6 +24,7 @@
 import org.cowsliplatch.internal.link.LinkLeases;
 import org.cowsliplatch.internal.link.LinkPacer;
 import org.cowsliplatch.internal.member.Member;
+import org.cowsliplatch.internal.member.MemberLifecycle;
 import org.cowsliplatch.internal.member.Membership;
 import org.cowsliplatch.internal.once.KeyIssuer;
 import org.cowsliplatch.internal.once.KeyLedgerRegistry;
@@ -75,7 +76,7 @@
     private static final long KEY_SWEEP_MS = 30_000;
     private static final int SECRET_BYTES = 32;
     private static final int PLATFORM_THREADS = 4;
-    /** Longest time that readiness waits for the first peer. */
+    /** Longest time that the instance list is waited for before only the seeds count as peers. */
     private static final Duration MAX_JOIN_TIME = Duration.ofSeconds(2);
 
     private static final double READS_PER_SECOND = 20;
@@ -113,7 +114,7 @@
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
     private final AtomicBoolean closed = new AtomicBoolean();
     private final long startNanos;
-    private volatile boolean leaving;
+    private final MemberLifecycle lifecycle;
     private volatile InetSocketAddress callerAddress;
     private volatile InetSocketAddress peerAddress;
     private volatile InetSocketAddress adminAddress;
@@ -129,6 +130,7 @@
         this.tracing = new Tracing(settings.instance(), settings.telemetry().otlp());
         SplittableRandom random = new SplittableRandom(new SecureRandom().nextLong());
         this.membership = new Membership(settings.instance(), ticker);
+        this.lifecycle = new MemberLifecycle(ticker);
         this.transport = new PeerTransport(this::self, ticker, this);
         this.broker = new SlotBroker(settings.instance(), settings.zone(), ticker, random.split(), transport);
         this.views = new SteeringViewHolder(broker::updateView);
@@ -190,13 +192,13 @@
         listeners.add(admin);
         adminAddress = admin.address();
         views.updateMembers(membership.peers(), self());
-        Repeater.repeat(timers, broker::tick, () -> broker.inUse() > 0 ? SLOT_TICK_MS : IDLE_SLOT_TICK_MS);
+        Repeater.repeat(timers, this::tick, () -> broker.inUse() > 0 ? SLOT_TICK_MS : IDLE_SLOT_TICK_MS);
         Repeater.repeat(timers, this::heartbeat, () -> HEARTBEAT_MS);
         Repeater.repeat(timers, disconnectMonitor::checkConnections, () -> CALLER_CHECK_MS);
         Repeater.repeat(timers, keys::sweep, () -> KEY_SWEEP_MS);
         Repeater.repeat(blocking, this::pollTables, tableFollower::nextDelayMs);
         Repeater.repeat(blocking, () -> linkLeases.step(linkPacer), linkLeases::nextDelayMs);
-        Repeater.repeat(blocking, instanceFollower::poll, instanceFollower::nextDelayMs);
+        Repeater.repeat(blocking, this::pollInstances, instanceFollower::nextDelayMs);
         LOG.infof(
                 "entry instance %s listens for callers on %s, peers on %s, operators on %s",
                 settings.instance(),
@@ -295,7 +297,7 @@
                 Addresses.text(callerAddress),
                 Addresses.text(peerAddress),
                 Addresses.text(adminAddress),
-                leaving,
+                lifecycle.phase(),
                 version.number(),
                 version.number() == 0 ? "" : version.digest(),
                 keys.own().issuer().prefix(),
@@ -318,13 +320,44 @@
 
     private void heartbeat() {
         var unused = membership.expire();
+        duties.heartbeat(listedPeers());
+        if (ticker.nanos() - startNanos > MAX_JOIN_TIME.toNanos()) {
+            lifecycle.listed(listedPeers());
+        }
+    }
+
+    private void pollInstances() {
+        instanceFollower.poll();
+        if (instanceFollower.isRead() && lifecycle.isJoining()) {
+            lifecycle.listed(listedPeers());
+            duties.connect(listedPeers());
+        }
+    }
+
+    /** Returns the peer addresses in the platform's list and in the settings. */
+    private Set<String> listedPeers() {
         Set<String> addresses = new HashSet<>(instanceFollower.peerAddresses());
         settings.seeds().forEach(seed -> addresses.add(Addresses.text(seed)));
-        duties.heartbeat(addresses);
+        addresses.remove(Addresses.text(peerAddress));
+        return addresses;
+    }
+
+    private void tick() {
+        broker.tick();
+        // The other entry instances are known: take over duties.
+        if (lifecycle.tryJoin()) {
+            duties.announce();
+        }
+    }
+
+    @Override
+    public void connectionFailed(String address) {
+        lifecycle.settle(address);
     }
 
     @Override
     public void memberDescribed(Member member) {
+        lifecycle.settle(member.peerAddress());
         var unused = duties.described(member);
     }
 
@@ -354,10 +387,9 @@
 
     /** Begins a planned stop. */
     public void drain() {
-        if (leaving) {
+        if (!lifecycle.leave()) {
             return;
         }
-        leaving = true;
         LOG.infof("planned stop of %s begins", settings.instance());
         plannedStop.begin();
         duties.announce();
@@ -378,14 +410,14 @@
         return stopped;
     }
 
-    /** Returns whether requests are served: the newest table version known is in force and no planned stop has begun. */
+    /**
+     * Returns whether requests are served: the newest table version known is in force, the other entry instances are known,
+     * and no planned stop has begun.
+     */
     public boolean isReady() {
         long localVersion = log.current().number();
         boolean upToDate = membership.peers().stream().allMatch(peer -> peer.tableVersion() <= localVersion);
-        boolean joined = ticker.nanos() - startNanos > MAX_JOIN_TIME.toNanos()
-                || !membership.peers().isEmpty()
-                || settings.seeds().isEmpty();
-        return localVersion > 0 && upToDate && joined && !leaving;
+        return localVersion > 0 && upToDate && lifecycle.isActive();
     }
 
     /** Returns the number of bytes of all frames sent to peers since the start. */
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/StoreFollower.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/StoreFollower.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -10,6 +11,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.cowsliplatch.errors.PlatformUnavailableException;
 import org.cowsliplatch.errors.TableException;
 import org.cowsliplatch.errors.TableRegressionException;
@@ -66,6 +68,7 @@
     private final OperatorRows operatorRows;
     private final StoreTableWatcher operatorWatcher;
     private final StoreTableWatcher endpointWatcher;
+    private final Consumer<Map<String, String>> onPeersListed;
     private volatile List<String> peerAddresses = List.of();
     private volatile boolean entriesRead;
     private volatile boolean endpointsRead;
@@ -79,6 +82,11 @@
 
     private long listReadNanos;
 
+    /**
+     * Creates a follower that is not started.
+     *
+     * @param onPeersListed receives the peer addresses of the other entry instances by name, each time they were read
+     */
     StoreFollower(
             DeploymentSettings settings,
             RowStore store,
@@ -89,7 +97,8 @@
             SteeringViewHolder views,
             DecisionLog decisions,
             ChangeRelay relay,
-            String ownAddress) {
+            String ownAddress,
+            Consumer<Map<String, String>> onPeersListed) {
         this.settings = settings;
         this.store = store;
         this.format = format;
@@ -97,6 +106,7 @@
         this.views = views;
         this.decisions = decisions;
         this.ownAddress = ownAddress;
+        this.onPeersListed = onPeersListed;
         this.endpointRegistry = new EndpointRegistry(settings.regionOfZone(), ticker, decisions);
         this.publisher = new EndpointPublisher(endpointRegistry, views);
         this.ticker = ticker;
@@ -125,11 +135,6 @@
         return peerAddresses;
     }
 
-    /** Returns whether the list of entry instances has been read and contains no other instance. */
-    boolean hasNoPeers() {
-        return entriesRead && peerAddresses.isEmpty();
-    }
-
     /** Returns whether both the endpoints and the operators' rows have been read. */
     boolean isLoaded() {
         return endpointsRead && operatorsRead;
@@ -229,7 +234,7 @@
                 store.put(ENTRY_TABLE, settings.instance(), ownAddress.getBytes(StandardCharsets.UTF_8));
                 listed = true;
             }
-            List<String> others = new ArrayList<>();
+            Map<String, String> others = new HashMap<>();
             // A restored store may have lost the own row, or have that of an earlier start.
             listed = false;
             for (RowStore.Row row : store.read(ENTRY_TABLE).rows()) {
@@ -237,11 +242,12 @@
                 if (row.key().equals(settings.instance())) {
                     listed = address.equals(ownAddress);
                 } else {
-                    others.add(address);
+                    others.put(row.key(), address);
                 }
             }
-            peerAddresses = List.copyOf(others);
+            peerAddresses = List.copyOf(others.values());
             entriesRead = true;
+            onPeersListed.accept(others);
             listEra = era;
             listReadNanos = ticker.nanos();
             return DISCOVERY_INTERVAL_MS;
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/Groups.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/Groups.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Set;
 import org.cowsliplatch.internal.member.Member;
+import org.cowsliplatch.internal.member.MemberPhase;
 import org.cowsliplatch.internal.steer.SteeringView;
 import org.cowsliplatch.table.Pool;
 
@@ -32,13 +33,13 @@
 
     /**
      * Returns the live entry instances that may become the grantor of a group: those in its region, or all if there is none.
-     * Leaving ones count only if all are leaving.
+     * Leaving ones count only if no other takes over duties, and joining ones never do.
      */
     static Collection<String> candidates(SteeringView view, GroupId group) {
         List<String> inRegion = new ArrayList<>();
         List<String> all = new ArrayList<>();
         for (Member member : view.members()) {
-            if (member.leaving()) {
+            if (!member.isActive()) {
                 continue;
             }
             all.add(member.name());
@@ -47,11 +48,17 @@
             }
         }
         if (all.isEmpty()) {
-            return view.members().stream().map(Member::name).toList();
+            return List.copyOf(leavingMembers(view));
         }
         return inRegion.isEmpty() ? all : inRegion;
     }
 
+    /** Returns whether an entry instance has just started and does not know the others yet. */
+    static boolean isJoining(SteeringView view, String name) {
+        return view.members().stream()
+                .anyMatch(member -> member.name().equals(name) && member.phase() == MemberPhase.JOINING);
+    }
+
     /** Returns the names of the live entry instances that have announced their planned stop. */
     static Set<String> leavingMembers(SteeringView view) {
         Set<String> leaving = new HashSet<>();
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/RateShare.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/RateShare.java
@@ -1,5 +1,6 @@
 package org.cowsliplatch.internal.limit;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -17,8 +18,13 @@
     /** Time in ns after which a missing entry instance is considered to have ended rather than to be cut off. */
     private static final long ABSENCE_NANOS = 30_000_000_000L;
 
+    /** The same for an entry instance that is listed but was never heard of: time for one that is starting too. */
+    private static final long UNHEARD_NANOS = 5_000_000_000L;
+
     private final Ticker ticker;
-    private final Map<String, Long> lastSeenNanos = new HashMap<>();
+    /** Time in ns until which each entry instance that is not reached counts as cut off. */
+    private final Map<String, Long> knownUntilNanos = new HashMap<>();
+
     private Set<String> reachable = Set.of();
     private Set<String> staying = Set.of();
 
@@ -33,21 +39,27 @@
      * @param leaving names of those among them that announced their planned stop
      */
     synchronized void update(Set<String> members, Set<String> leaving) {
-        long now = ticker.nanos();
-        staying.forEach(name -> lastSeenNanos.put(name, now));
-        lastSeenNanos.keySet().removeAll(leaving);
+        long until = ticker.nanos() + ABSENCE_NANOS;
+        staying.forEach(name -> knownUntilNanos.put(name, until));
+        knownUntilNanos.keySet().removeAll(leaving);
         Set<String> remaining = new HashSet<>(members);
         remaining.removeAll(leaving);
         staying = remaining;
         reachable = Set.copyOf(members);
     }
 
+    /** Counts listed entry instances as known for a while, unless more is known of them. */
+    synchronized void expect(Collection<String> names) {
+        long until = ticker.nanos() + UNHEARD_NANOS;
+        names.forEach(name -> knownUntilNanos.putIfAbsent(name, until));
+    }
+
     /** Returns the share, from 0 to 1. */
     synchronized double current() {
         long now = ticker.nanos();
-        lastSeenNanos.values().removeIf(seen -> now - seen > ABSENCE_NANOS);
+        knownUntilNanos.values().removeIf(until -> now - until > 0);
         int known = reachable.size();
-        for (String name : lastSeenNanos.keySet()) {
+        for (String name : knownUntilNanos.keySet()) {
             if (!reachable.contains(name)) {
                 known++;
             }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotBroker.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotBroker.java
@@ -232,6 +232,15 @@
         }
     }
 
+    /**
+     * Counts entry instances as known that may be running although this one, which has just started, has not heard of them.
+     *
+     * @param names names of the entry instances that the platform lists
+     */
+    public void expectMembers(Collection<String> names) {
+        rateShare.expect(names);
+    }
+
     /** Handles a message of a peer; messages that are not about slots are ignored. */
     public void receive(String from, PeerMessage message) {
         suspected.remove(from);
@@ -335,7 +344,8 @@
         String grantor = grantors.get(request.group);
         if (grantor == null) {
             request.grantor = FALLBACK;
-            refuse(request, Refusal.NO_ENDPOINT);
+            boolean hasCandidates = !Groups.candidates(view, request.group).isEmpty();
+            refuse(request, hasCandidates ? Refusal.NO_ENDPOINT : Refusal.NO_GRANTOR);
             return;
         }
         if (grantor.equals(self)) {
@@ -377,6 +387,11 @@
     private void requestFromFallback(LocalRequest request) {
         request.grantor = FALLBACK;
         request.acknowledged = true;
+        if (Groups.isJoining(view, self)) {
+            // It does not know the others that use a fallback share now.
+            refuse(request, Refusal.NO_GRANTOR);
+            return;
+        }
         SlotGrantor share = fallbackShares.computeIfAbsent(request.group, this::newFallbackShare);
         if (share == null) {
             refuse(request, Refusal.NO_ENDPOINT);
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/member/Member.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/member/Member.java
@@ -12,7 +12,7 @@
  * @param callerAddress address for callers
  * @param peerAddress address for peers
  * @param adminAddress address for operators
- * @param leaving whether it is leaving, as part of a planned stop
+ * @param phase phase in its life
  * @param tableVersion version of the tables in effect on it
  * @param tableDigest digest of those tables
  * @param keyPrefix prefix of the idempotency keys that it owns
@@ -27,7 +27,7 @@
         String callerAddress,
         String peerAddress,
         String adminAddress,
-        boolean leaving,
+        MemberPhase phase,
         long tableVersion,
         String tableDigest,
         String keyPrefix,
@@ -39,6 +39,16 @@
         knownPeers = List.copyOf(knownPeers);
     }
 
+    /** Returns whether it is leaving, as part of a planned stop. */
+    public boolean leaving() {
+        return phase == MemberPhase.LEAVING;
+    }
+
+    /** Returns whether it takes over duties and may be named to callers. */
+    public boolean isActive() {
+        return phase == MemberPhase.ACTIVE;
+    }
+
     /** Returns the domain of its idempotency keys: name and incarnation, separated by a tilde. */
     public String domain() {
         return name + "~" + incarnation;
--- /dev/null
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/member/MemberPhase.java
@@ -0,0 +1,11 @@
+package org.cowsliplatch.internal.member;
+
+/** Phase in the life of an entry instance, as it announces it. */
+public enum MemberPhase {
+    /** It has just started and does not know all others yet, so it takes over no duties and is not named to callers. */
+    JOINING,
+    /** It knows the others and takes over duties. */
+    ACTIVE,
+    /** It has begun its planned stop and hands its duties over. */
+    LEAVING
+}
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/peer/PeerCodec.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/peer/PeerCodec.java
@@ -12,6 +12,7 @@
 import org.cowsliplatch.internal.limit.SlotOutcome;
 import org.cowsliplatch.internal.limit.SlotRequest;
 import org.cowsliplatch.internal.member.Member;
+import org.cowsliplatch.internal.member.MemberPhase;
 import org.cowsliplatch.internal.once.KeyLedger;
 import org.cowsliplatch.internal.once.RecordedOutcome;
 import org.cowsliplatch.platform.RowStore;
@@ -265,6 +266,7 @@
                 .setPeerAddress(member.peerAddress())
                 .setAdminAddress(member.adminAddress())
                 .setLeaving(member.leaving())
+                .setJoining(member.phase() == MemberPhase.JOINING)
                 .setTableVersion(member.tableVersion())
                 .setTableDigest(member.tableDigest())
                 .setKeyPrefix(member.keyPrefix())
@@ -283,7 +285,7 @@
                 member.getCallerAddress(),
                 member.getPeerAddress(),
                 member.getAdminAddress(),
-                member.getLeaving(),
+                decodePhase(member),
                 member.getTableVersion(),
                 member.getTableDigest(),
                 member.getKeyPrefix(),
@@ -291,6 +293,13 @@
                 member.getKnownPeersList());
     }
 
+    private static MemberPhase decodePhase(org.cowsliplatch.wire.Member member) {
+        if (member.getLeaving()) {
+            return MemberPhase.LEAVING;
+        }
+        return member.getJoining() ? MemberPhase.JOINING : MemberPhase.ACTIVE;
+    }
+
     /** Returns the group loads reported in a heartbeat. */
     public static List<PeerMessage.GroupReport> decodeLoads(org.cowsliplatch.wire.Heartbeat heartbeat) {
         return heartbeat.getLoadsList().stream()
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/peer/PeerListener.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/peer/PeerListener.java
@@ -12,6 +12,13 @@
      */
     void memberDescribed(Member member);
 
+    /**
+     * Called when an attempt to connect to a peer has failed.
+     *
+     * @param address peer address
+     */
+    void connectionFailed(String address);
+
     /**
      * Called when a heartbeat has arrived.
      *
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/peer/PeerTransport.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/peer/PeerTransport.java
@@ -211,7 +211,14 @@
                         initialize(channel, new OutboundHandler(connection));
                     }
                 });
-        connection.channel = bootstrap.connect(target).channel();
+        connection.channel = bootstrap
+                .connect(target)
+                .addListener(attempt -> {
+                    if (!attempt.isSuccess()) {
+                        listener.connectionFailed(address);
+                    }
+                })
+                .channel();
     }
 
     private static void initialize(SocketChannel channel, SimpleChannelInboundHandler<Frame> handler) {
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/steer/InstanceFollower.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/steer/InstanceFollower.java
@@ -20,6 +20,7 @@
     private final SteeringViewHolder views;
     private final PollDelay delay;
     private volatile List<String> peerAddresses = List.of();
+    private volatile boolean read;
 
     /**
      * Creates a follower.
@@ -62,6 +63,7 @@
             }
         }
         peerAddresses = List.copyOf(peers);
+        read = true;
         boolean becameEmpty =
                 backends.isEmpty() && !views.current().endpoints().instances().isEmpty();
         if (becameEmpty) {
@@ -76,6 +78,11 @@
         return peerAddresses;
     }
 
+    /** Returns whether a list has been read. */
+    public boolean isRead() {
+        return read;
+    }
+
     /** Returns the time in ms to wait before the next read: jittered, with back-off after failures. */
     public long nextDelayMs() {
         return delay.nextMs();
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/steer/SteeringViewHolder.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/steer/SteeringViewHolder.java
@@ -73,7 +73,7 @@
         }
         for (int i = 0; i < a.size(); i++) {
             boolean same = a.get(i).domain().equals(b.get(i).domain())
-                    && a.get(i).leaving() == b.get(i).leaving()
+                    && a.get(i).phase() == b.get(i).phase()
                     && a.get(i).region().equals(b.get(i).region());
             if (!same) {
                 return false;
