Close in order after a problem in place of a cut response

A response to an HTTP/1.0 caller sets its connection to be reset on close until its body is written. If it fails before its first byte, a problem takes its place; the connection then no longer needs a reset.

No caller was seen to lose a problem: the HTTP server ends its output before it closes, so the new test of it passed before as well.

--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Exchange.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Exchange.java
@@ -495,7 +495,7 @@
         if (responseSink != null && responseSink.isCallerDisconnected()) {
             callback.failed(new Attempt.CallerDisconnectedException(null));
         } else {
-            framing.complete(request);
+            framing.end(request);
             callback.succeeded();
         }
     }
@@ -514,6 +514,7 @@
         if (response.isCommitted()) {
             callback.failed(new IllegalStateException(problem.detail()));
         } else {
+            framing.end(request);
             problem.write(response, callback);
         }
     }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/ResponseFraming.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/ResponseFraming.java
@@ -30,7 +30,7 @@
         }
 
         @Override
-        void complete(Request request) {
+        void end(Request request) {
             setResetOnClose(request, false);
         }
     };
@@ -48,8 +48,8 @@
     /** Prepares a response that is not committed. */
     void begin(Request request, Response response) {}
 
-    /** Records that the whole body was written. */
-    void complete(Request request) {}
+    /** Records that the whole body was written, or that another response takes its place. */
+    void end(Request request) {}
 
     private static void setResetOnClose(Request request, boolean reset) {
         if (request.getConnectionMetaData().getConnection().getEndPoint() instanceof MonitoredEndPoint endPoint) {
