Let a starting instance grant for itself while it knows no active one

Change: while a joining instance knows no active one, it grants slots for itself alone, with one part of each rate for each listed instance and none before it has read the list (RateShare.alone). When it has joined, it asks the others what they hold before it grants for them.

--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/DeployedEntry.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/DeployedEntry.java
@@ -249,7 +249,8 @@
 
     /**
      * Returns the number of entry instances that share the retry budgets: the configured number, or the most that were
-     * ever known at once if that is more. An instance that can't be reached may still use its share.
+     * ever known at once if that is more. An instance that can't be reached may still use its share. While the others are
+     * not known, this one takes no share.
      */
     private double retrySharers() {
         if (lifecycle.isJoining()) {
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/Groups.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/Groups.java
@@ -33,7 +33,8 @@
 
     /**
      * Returns the live entry instances that may become the grantor of a group: those in its region, or all if there is none.
-     * Leaving ones count only if no other takes over duties, and joining ones never do.
+     * Leaving ones count only if no other takes over duties, and joining ones never do: while only such are known, each
+     * grants for itself.
      */
     static Collection<String> candidates(SteeringView view, GroupId group) {
         List<String> inRegion = new ArrayList<>();
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/RateShare.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/RateShare.java
@@ -27,6 +27,7 @@
 
     private Set<String> reachable = Set.of();
     private Set<String> staying = Set.of();
+    private boolean isListed;
 
     RateShare(Ticker ticker) {
         this.ticker = ticker;
@@ -52,10 +53,21 @@
     synchronized void expect(Collection<String> names) {
         long until = ticker.nanos() + UNHEARD_NANOS;
         names.forEach(name -> knownUntilNanos.putIfAbsent(name, until));
+        isListed = true;
     }
 
-    /** Returns the share, from 0 to 1. */
+    /** Returns the share, from 0 to 1, while one grantor serves all entry instances that are reached. */
     synchronized double current() {
+        int known = known();
+        return known == 0 ? 1 : (double) reachable.size() / known;
+    }
+
+    /** Returns the share, from 0 to 1, while each entry instance grants for itself; 0 until the others are listed. */
+    synchronized double alone() {
+        return isListed ? 1.0 / Math.max(1, known()) : 0;
+    }
+
+    private int known() {
         long now = ticker.nanos();
         knownUntilNanos.values().removeIf(until -> now - until > 0);
         int known = reachable.size();
@@ -64,6 +76,6 @@
                 known++;
             }
         }
-        return known == 0 ? 1 : (double) reachable.size() / known;
+        return known;
     }
 }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/Refusal.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/Refusal.java
@@ -13,9 +13,7 @@
     /** The caller cancelled the request or disconnected. */
     CANCELLED("the caller cancelled the request"),
     /** The rate limits that the endpoints have named leave no room by the deadline. */
-    RATE_LIMITED("the backend servers limit their requests per second"),
-    /** No entry instance that could grant a slot is known. */
-    NO_GRANTOR("this entry instance has just started and knows no other that grants slots");
+    RATE_LIMITED("the backend servers limit their requests per second");
 
     private final String text;
 
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotBroker.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotBroker.java
@@ -206,11 +206,13 @@
     /** Applies a new view: reassigns grantors, updates endpoints, and drops holders that are no longer members. */
     public synchronized void updateView(SteeringView newView) {
         Set<String> before = names(view.members());
+        boolean wasJoining = Groups.isJoining(view, self);
         view = newView;
+        boolean hasJoined = wasJoining && !Groups.isJoining(newView, self);
         Set<String> now = names(newView.members());
         Map<GroupId, String> oldGrantors = new HashMap<>(grantors);
         for (GroupId group : Groups.all(newView)) {
-            assignGrantor(group, oldGrantors.get(group));
+            assignGrantor(group, oldGrantors.get(group), hasJoined);
         }
         for (Map.Entry<GroupId, HostedGroup> entry : hosted.entrySet()) {
             refresh(entry.getKey(), entry.getValue(), before, now);
@@ -286,7 +288,7 @@
     /** Does time-driven work; to be called every few milliseconds. */
     public void tick() {
         long now = ticker.nanos();
-        double currentShare = rateShare.current();
+        double currentShare = currentRateShare();
         hosted.forEach((group, host) -> {
             host.grantor.setRateShare(currentShare);
             endRecoveryIfDue(group, host, now);
@@ -298,6 +300,11 @@
         limitSync.announce(hosted.keySet(), Groups.otherMembers(view, self));
     }
 
+    /** Returns the share of the endpoints' rate limits that the grantors of this entry instance may use. */
+    private double currentRateShare() {
+        return Groups.isJoining(view, self) ? rateShare.alone() : rateShare.current();
+    }
+
     /** Returns the load of the groups whose grantor is this entry instance. */
     public List<PeerMessage.GroupReport> loads() {
         List<PeerMessage.GroupReport> loads = new ArrayList<>();
@@ -344,8 +351,7 @@
         String grantor = grantors.get(request.group);
         if (grantor == null) {
             request.grantor = FALLBACK;
-            boolean hasCandidates = !Groups.candidates(view, request.group).isEmpty();
-            refuse(request, hasCandidates ? Refusal.NO_ENDPOINT : Refusal.NO_GRANTOR);
+            refuse(request, Refusal.NO_ENDPOINT);
             return;
         }
         if (grantor.equals(self)) {
@@ -387,11 +393,6 @@
     private void requestFromFallback(LocalRequest request) {
         request.grantor = FALLBACK;
         request.acknowledged = true;
-        if (Groups.isJoining(view, self)) {
-            // It does not know the others that use a fallback share now.
-            refuse(request, Refusal.NO_GRANTOR);
-            return;
-        }
         SlotGrantor share = fallbackShares.computeIfAbsent(request.group, this::newFallbackShare);
         if (share == null) {
             refuse(request, Refusal.NO_ENDPOINT);
@@ -418,16 +419,22 @@
         return share.updateEndpoints(FallbackShare.partOf(endpoints, candidates, self));
     }
 
-    /** Assigns a group to its grantor according to the view, and moves its queued requests there. */
-    private void assignGrantor(GroupId group, @Nullable String oldGrantor) {
-        String grantor =
-                Rendezvous.owner(group.key(), Groups.candidates(view, group)).orElse(null);
+    /**
+     * Assigns a group to its grantor according to the view, and moves its queued requests there.
+     *
+     * @param hasJoined whether this entry instance granted slots for itself alone until now, if it did
+     */
+    private void assignGrantor(GroupId group, @Nullable String oldGrantor, boolean hasJoined) {
+        Collection<String> candidates = Groups.candidates(view, group);
+        String grantor = candidates.isEmpty() && Groups.isJoining(view, self)
+                ? self
+                : Rendezvous.owner(group.key(), candidates).orElse(null);
         if (grantor == null) {
             grantors.remove(group);
             return;
         }
         if (grantor.equals(oldGrantor)) {
-            rehostIfChanged(group);
+            rehostIfChanged(group, hasJoined);
             return;
         }
         if (grantor.equals(self)) {
@@ -462,7 +469,7 @@
         }
         HostedGroup host = new HostedGroup(
                 pool, new SlotGrantor(pool, ticker, nextRandom(), limits, cacheSizeEstimator(pool.name())));
-        host.grantor.setRateShare(rateShare.current());
+        host.grantor.setRateShare(currentRateShare());
         host.grantor.beginRecovery();
         host.recoveryDeadlineNanos = ticker.nanos() + RECOVERY_TIMEOUT_NANOS;
         deliver(group, self, host.grantor.updateEndpoints(Groups.endpoints(view, group)));
@@ -481,11 +488,11 @@
         endRecoveryIfDue(group, host, ticker.nanos());
     }
 
-    /** Recreates the grantor if the row of the pool was edited; queued requests are kept. */
-    private void rehostIfChanged(GroupId group) {
+    /** Recreates the grantor if the row of the pool was edited or it did not serve others; queued requests are kept. */
+    private void rehostIfChanged(GroupId group, boolean hasJoined) {
         HostedGroup previous = hosted.get(group);
         Pool pool = view.tables().tables().pools().get(group.pool());
-        if (previous == null || pool == null || pool.equals(previous.pool)) {
+        if (previous == null || pool == null || (pool.equals(previous.pool) && !hasJoined)) {
             return;
         }
         List<SlotRequest> waiting = previous.grantor.drain();
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/steer/EntryAddressSelector.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/steer/EntryAddressSelector.java
@@ -93,7 +93,7 @@
     private static Map<String, List<String>> usable(SteeringView view, Set<String> allowed) {
         Map<String, List<String>> byRegion = new TreeMap<>();
         for (Member member : view.members()) {
-            boolean usable = member.isActive() && member.tableVersion() > 0;
+            boolean usable = !member.leaving() && member.tableVersion() > 0;
             if (usable && (allowed.isEmpty() || allowed.contains(member.region()))) {
                 byRegion.computeIfAbsent(member.region(), key -> new ArrayList<>())
                         .add(member.callerAddress());
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/steer/EntryLookup.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/steer/EntryLookup.java
@@ -117,7 +117,7 @@
     /** Returns the members that have tables and are not leaving, or all members if there are none. */
     private static List<Member> usable(List<Member> members) {
         List<Member> usable = members.stream()
-                .filter(member -> member.isActive() && member.tableVersion() > 0)
+                .filter(member -> !member.leaving() && member.tableVersion() > 0)
                 .toList();
         return usable.isEmpty() ? members : usable;
     }
