Leave slots of fallback shares out of the report to a new grantor

Cause: a new grantor asks each instance which slots it holds. The answers included slots that had been granted by a fallback share; they are returned to that share, so the grantor counted them as taken for ever.

Change: such slots are left out of the report; the fallback share bounds them.

Test: newGrantorDoesNotCountSlotsOfAFallbackShare failed before (11 slots taken, none held) and passes.

--- a/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/SlotBrokerTest.java
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/SlotBrokerTest.java
@@ -167,6 +167,31 @@
         assertThat(bus.stream().map(Envelope::message).toList()).contains(new PeerMessage.HoldingsQuery(GROUP));
     }
 
+    /** Guards against slots that a new grantor counts as taken for good, since they are returned to a fallback share. */
+    @Test
+    void newGrantorDoesNotCountSlotsOfAFallbackShare() {
+        String first = broker(names.get(0)).grantorOf(GROUP).orElseThrow();
+        List<String> others = names.stream().filter(name -> !name.equals(first)).toList();
+        failed.add(first);
+        others.forEach(this::acquire);
+        ticker.advanceMs(50);
+        others.forEach(name -> broker(name).tick());
+        assertThat(held).isNotEmpty();
+        SteeringView without = view.with(members(others));
+        others.forEach(name -> broker(name).updateView(without));
+        deliverAll();
+
+        held.forEach(lease -> lease.release(SlotOutcome.ANSWERED));
+        deliverAll();
+
+        SlotBroker second = broker(broker(others.get(0)).grantorOf(GROUP).orElseThrow());
+        assertThat(second.loads().stream()
+                        .filter(load -> load.group().equals(GROUP))
+                        .map(load -> load.load().outstanding())
+                        .toList())
+                .containsExactly(0);
+    }
+
     private SlotBroker broker(String entry) {
         SlotBroker broker = brokers.get(entry);
         if (broker == null) {
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/RunningEntry.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/RunningEntry.java
@@ -344,7 +344,6 @@
 
     private void tick() {
         broker.tick();
-        // The other entry instances are known: take over duties.
         if (lifecycle.tryJoin()) {
             duties.announce();
         }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotBroker.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotBroker.java
@@ -741,11 +741,16 @@
         }
     }
 
+    /** Returns the slots that requests of this entry instance hold and will return to the grantor of a group. */
     private List<PeerMessage.Holding> holdings(GroupId group) {
         List<PeerMessage.Holding> holdings = new ArrayList<>();
         for (LocalRequest request : localRequests.values()) {
             Endpoint endpoint = request.granted;
-            if (request.group.equals(group) && request.state.get() == RequestState.GRANTED && endpoint != null) {
+            // A slot of the fallback share is returned to it; a grantor that counted it would never get it back.
+            if (request.group.equals(group)
+                    && request.state.get() == RequestState.GRANTED
+                    && !request.grantor.equals(FALLBACK)
+                    && endpoint != null) {
                 holdings.add(new PeerMessage.Holding(request.id, endpoint.id(), request.requirements.rank()));
             }
         }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/member/Member.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/member/Member.java
@@ -44,7 +44,7 @@
         return phase == MemberPhase.LEAVING;
     }
 
-    /** Returns whether it takes over duties and may be named to callers. */
+    /** Returns whether it takes over duties for others. */
     public boolean isActive() {
         return phase == MemberPhase.ACTIVE;
     }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/member/MemberLifecycle.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/member/MemberLifecycle.java
@@ -36,7 +36,7 @@
         return phase == MemberPhase.JOINING;
     }
 
-    /** Returns whether the instance takes over duties. */
+    /** Returns whether the instance takes over duties for others. */
     public boolean isActive() {
         return phase == MemberPhase.ACTIVE;
     }
