Log how each response was delimited, and who ended its connection

Change: the request line has these for each attempt and for the caller, explain prints them, and cowsliplatch_responses_total counts them. Bytes are counted as they are read; only the head of a response is looked at.

--- a/org.cowsliplatch.pgm/src/main/java/org/cowsliplatch/pgm/ExplainCommand.java
+++ b/org.cowsliplatch.pgm/src/main/java/org/cowsliplatch/pgm/ExplainCommand.java
@@ -112,6 +112,11 @@
                 line.text("ms"),
                 line.text("callerMs"),
                 line.text("reason").isEmpty() ? "" : ": " + line.text("reason"));
+        if (!line.text("callerEnd").isEmpty()) {
+            print(
+                    "  the caller got %s bytes of a body, framing %s, end: %s",
+                    line.text("bytes"), line.text("framing"), line.text("callerEnd"));
+        }
     }
 
     private static String describe(JsonNode step) {
@@ -121,13 +126,27 @@
             return "no slot in " + region + wait + ": " + step.path("refused").asText();
         }
         String slot = "slot of " + step.path("endpoint").asText() + " at "
-                + step.path("address").asText() + " in " + region + wait;
+                + step.path("address").asText() + " in " + region + wait + describeResponse(step.path("response"));
         String failure = step.path("failed").asText();
         return failure.isEmpty()
                 ? slot
                 : slot + "; " + failure + ": " + step.path("reason").asText();
     }
 
+    private static String describeResponse(JsonNode response) {
+        if (response.isMissingNode()) {
+            return "";
+        }
+        return "; response %s with a body of %s bytes, framing %s, after a head of %s, of %s bytes read; server's end: %s"
+                .formatted(
+                        response.path("status").asText(),
+                        response.path("bodyBytes").asText(),
+                        response.path("framing").asText(),
+                        response.path("headBytes").asText(),
+                        response.path("connectionBytes").asText(),
+                        response.path("serverEnd").asText());
+    }
+
     private void printBelief(LogLine line) {
         StringBuilder text = new StringBuilder();
         for (Map.Entry<String, JsonNode> field : line.fields().properties()) {
--- a/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/ExplainTest.java
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/ExplainTest.java
@@ -59,6 +59,23 @@
         assertThat(out).doesNotContain("store-lost");
     }
 
+    private static final String ANSWERED = "\"event\":\"request\",\"request\":\"c3\",\"route\":\"r\",\"pool\":\"p\","
+            + "\"rank\":\"lookup\",\"object\":\"\",\"version\":93,\"outcome\":\"answered\",\"status\":200,\"ms\":6,"
+            + "\"callerMs\":3800,\"sinceFirstMs\":0,\"steps\":[{\"endpoint\":\"i-7~176\",\"address\":\"10.3.64.40:81\","
+            + "\"region\":\"north\",\"waitMs\":0,\"response\":{\"status\":200,\"framing\":\"connection-end\","
+            + "\"headBytes\":120,\"bodyBytes\":900,\"connectionBytes\":1020,\"serverEnd\":\"closed\"}}],"
+            + "\"framing\":\"chunks\",\"bytes\":900,\"callerEnd\":\"complete\"";
+
+    @Test
+    void framingAndEndOfTheResponseAreTold() throws Exception {
+        assertThat(explain("explain", "c3", log("one.log", line("10.000", "e1", ANSWERED))))
+                .isEqualTo(ExitCode.OK);
+        assertThat(out)
+                .contains("response 200 with a body of 900 bytes, framing connection-end, after a head of 120, "
+                        + "of 1020 bytes read; server's end: closed");
+        assertThat(out).contains("the caller got 900 bytes of a body, framing chunks, end: complete");
+    }
+
     @Test
     void whatWasBelievedOfTheEndpointIsTold() throws Exception {
         String log = log(
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Attempt.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Attempt.java
@@ -46,6 +46,8 @@
     private volatile boolean responseAccepted;
     private volatile AttemptFailure.@Nullable Kind rejection;
     private volatile boolean responseCopied;
+    private volatile @Nullable Response response;
+    private volatile @Nullable ResponseBody responseBody;
 
     Attempt(String address, Listener listener) {
         this.address = address;
@@ -85,19 +87,47 @@
         connection = sent.getConnection();
     }
 
-    private void onContent(Response response, Content.Source content) {
-        AttemptFailure.Kind reason = listener.validate(response);
+    private void onContent(Response newResponse, Content.Source content) {
+        response = newResponse;
+        AttemptFailure.Kind reason = listener.validate(newResponse);
         if (reason != null) {
             rejection = reason;
-            discard(response, content, reason);
+            discard(newResponse, content, reason);
             return;
         }
         responseAccepted = true;
+        ResponseBody body = new ResponseBody(content);
+        responseBody = body;
         listener.onResponse(
-                response,
-                content,
+                newResponse,
+                body,
                 org.eclipse.jetty.util.Callback.from(
-                        () -> onCopyComplete(response, null), failure -> onCopyComplete(response, failure)));
+                        () -> onCopyComplete(newResponse, null), failure -> onCopyComplete(newResponse, failure)));
+    }
+
+    /** Returns what was read of the response, or null if its head was not. */
+    @Nullable
+    ReceivedResponse received() {
+        Response currentResponse = response;
+        if (currentResponse == null) {
+            return null;
+        }
+        ResponseBody body = responseBody;
+        ResetAwareEndPoint endPoint = endPoint();
+        return new ReceivedResponse(
+                currentResponse.getStatus(),
+                BodyFraming.of(currentResponse),
+                endPoint == null ? 0 : endPoint.headBytes(),
+                body == null ? 0 : body.bytes(),
+                endPoint == null ? 0 : endPoint.bytesRead(),
+                endPoint == null ? ConnectionEnd.NONE : endPoint.peerEnd());
+    }
+
+    private @Nullable ResetAwareEndPoint endPoint() {
+        return connection instanceof org.eclipse.jetty.io.Connection current
+                        && current.getEndPoint() instanceof ResetAwareEndPoint endPoint
+                ? endPoint
+                : null;
     }
 
     /** Reads a short body to its end; any other is cut off, since it may never end. */
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Exchange.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Exchange.java
@@ -19,6 +19,7 @@
 import org.cowsliplatch.internal.link.LinkId;
 import org.cowsliplatch.internal.link.LinkPacer;
 import org.cowsliplatch.internal.once.RecordedOutcome;
+import org.cowsliplatch.internal.proxy.RequestDecisionLog.Delivery;
 import org.cowsliplatch.internal.telemetry.Tracing;
 import org.cowsliplatch.table.Pool;
 import org.cowsliplatch.table.Route;
@@ -485,14 +486,16 @@
         }
         ResponseSink responseSink = sink;
         byte[] recorded = responseSink == null ? null : responseSink.recordedBytes();
+        recordReceived();
         context.disconnectMonitor().unwatch(request);
         idempotency.record(
                 recorded == null
                         ? new RecordedOutcome.Unknown(
                                 "the request was executed, but its response was too long to be recorded")
                         : new RecordedOutcome.Answer(status, nameValuePairs(headers), recorded));
-        complete("answered", status, "");
-        if (responseSink != null && responseSink.isCallerDisconnected()) {
+        boolean callerLeft = responseSink != null && responseSink.isCallerDisconnected();
+        complete("answered", status, "", callerLeft ? Delivery.End.CALLER_LEFT : Delivery.End.COMPLETE);
+        if (callerLeft) {
             callback.failed(new Attempt.CallerDisconnectedException(null));
         } else {
             framing.end(request);
@@ -510,8 +513,14 @@
                 problem.outcome() == Outcome.NOT_RUN
                         ? new RecordedOutcome.NotRun(problem.detail())
                         : new RecordedOutcome.Unknown(problem.detail()));
-        complete(problem.outcome().text(), problem.status(), problem.detail());
-        if (response.isCommitted()) {
+        boolean isCut = response.isCommitted();
+        Delivery.End end = isCut ? Delivery.End.CUT : Delivery.End.PROBLEM;
+        complete(
+                problem.outcome().text(),
+                problem.status(),
+                problem.detail(),
+                callerDisconnected ? Delivery.End.CALLER_LEFT : end);
+        if (isCut) {
             callback.failed(new IllegalStateException(problem.detail()));
         } else {
             framing.end(request);
@@ -524,7 +533,7 @@
         if (!finished.compareAndSet(false, true)) {
             return;
         }
-        complete("replayed", answer.status(), "");
+        complete("replayed", answer.status(), "", Delivery.End.COMPLETE);
         response.setStatus(answer.status());
         for (int i = 0; i + 1 < answer.headers().size(); i += 2) {
             response.getHeaders().add(answer.headers().get(i), answer.headers().get(i + 1));
@@ -533,14 +542,25 @@
         response.write(true, java.nio.ByteBuffer.wrap(answer.body()), callback);
     }
 
-    private void complete(String outcome, int status, String detail) {
+    private void complete(String outcome, int status, String detail, Delivery.End end) {
         long nanos = context.ticker().nanos() - startNanos;
+        ResponseSink currentSink = sink;
+        Delivery delivery = new Delivery(framing.text(), currentSink == null ? 0 : currentSink.bytes(), end);
         context.metrics().request(route.rank(), outcome, nanos / 1e9);
-        decisions.write(context, this, new RequestDecisionLog.Completion(outcome, status, detail, nanos));
+        decisions.write(context, this, new RequestDecisionLog.Completion(outcome, status, detail, nanos, delivery));
         span.setAttribute("cowsliplatch.outcome", outcome);
         span.end();
     }
 
+    private void recordReceived() {
+        Attempt currentAttempt = attempt;
+        ReceivedResponse received = currentAttempt == null ? null : currentAttempt.received();
+        if (received != null) {
+            decisions.received(received);
+            context.metrics().response(received.framing().text(), received.end().text());
+        }
+    }
+
     /** Returns the problem for a request whose attempts all failed. */
     Problem problemAfterAttempts(String detail) {
         if (!anyAttemptMayHaveRun) {
@@ -586,6 +606,7 @@
 
     /** Records the failure of an attempt. */
     void onAttemptFailed(AttemptFailure failure, String endpointId) {
+        recordReceived();
         decisions.attemptFailed(failure);
         failedEndpoints.add(endpointId);
         anyAttemptMayHaveRun |= !failure.kind().isProvenNotRun();
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/RequestDecisionLog.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/RequestDecisionLog.java
@@ -20,8 +20,47 @@
      * @param status status of the response
      * @param detail reason for a failure, empty if there was none
      * @param nanos time in ns since the request arrived
+     * @param delivery what the caller got
      */
-    record Completion(String outcome, int status, String detail, long nanos) {}
+    record Completion(String outcome, int status, String detail, long nanos, Delivery delivery) {}
+
+    /**
+     * What a caller got of a response.
+     *
+     * @param framing how the end of the body is told
+     * @param bytes length of the body, in bytes
+     * @param end how the response ended
+     */
+    record Delivery(String framing, long bytes, End end) {
+        Delivery {
+            if (bytes < 0) {
+                throw new IllegalArgumentException("negative number of bytes: " + bytes);
+            }
+        }
+
+        /** Ends of a response, as the caller sees them. */
+        enum End {
+            /** The whole response of a backend server, or a recorded one. */
+            COMPLETE("complete"),
+            /** A problem in place of a backend server's response. */
+            PROBLEM("problem"),
+            /** The response was cut off; neither a length, a last chunk nor an orderly end makes it look complete. */
+            CUT("cut"),
+            /** The caller disconnected first. */
+            CALLER_LEFT("caller-left");
+
+            private final String text;
+
+            End(String text) {
+                this.text = text;
+            }
+
+            /** Returns the name for logs. */
+            String text() {
+                return text;
+            }
+        }
+    }
 
     private final List<Map<String, Object>> steps = new ArrayList<>();
 
@@ -61,6 +100,13 @@
         }
     }
 
+    /** Adds what was read of the response to the attempt that was granted last. */
+    synchronized void received(ReceivedResponse response) {
+        if (!steps.isEmpty()) {
+            steps.get(steps.size() - 1).put("response", response.fields());
+        }
+    }
+
     synchronized void write(EntryContext context, Exchange exchange, Completion completion) {
         DecisionLog.Line line = context.decisionLog().line("request");
         @Nullable String id = exchange.requestId();
@@ -75,7 +121,10 @@
                 .with("ms", TimeUnit.NANOSECONDS.toMillis(completion.nanos()))
                 .with("callerMs", exchange.callerTimeoutMs())
                 .with("sinceFirstMs", exchange.sinceFirstMs())
-                .with("steps", List.copyOf(steps));
+                .with("steps", List.copyOf(steps))
+                .with("framing", completion.delivery().framing())
+                .with("bytes", completion.delivery().bytes())
+                .with("callerEnd", completion.delivery().end().text());
         if (!completion.detail().isEmpty()) {
             line.with("reason", completion.detail());
         }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/ResetAwareEndPoint.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/ResetAwareEndPoint.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.channels.ClosedChannelException;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.atomic.AtomicReference;
@@ -25,7 +26,14 @@
         UNSOLICITED_BYTES
     }
 
+    /** Bytes that end the head of a response. */
+    private static final byte[] HEAD_END = {'\r', '\n', '\r', '\n'};
+
     private final AtomicReference<State> state = new AtomicReference<>(State.UNUSED);
+    private volatile ConnectionEnd peerEnd = ConnectionEnd.NONE;
+    private volatile long bytesRead;
+    private volatile long headBytes;
+    private int headEndMatched;
 
     ResetAwareEndPoint(SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler) {
         super(channel, selector, key, scheduler);
@@ -38,19 +46,55 @@
         }
         int position = BufferUtil.flipToFill(buffer);
         try {
+            int start = buffer.position();
             int filled = getChannel().read(buffer);
             if (filled > 0) {
                 closeIfUnsolicited();
                 notIdle();
+                count(buffer, start, filled);
             } else if (filled < 0) {
+                peerEnd = ConnectionEnd.CLOSED;
                 shutdownInput();
             }
             return filled;
+        } catch (ClosedChannelException | UnsolicitedBytesException e) {
+            throw e;
+        } catch (IOException e) {
+            peerEnd = ConnectionEnd.RESET;
+            throw e;
         } finally {
             BufferUtil.flipToFlush(buffer, position);
         }
     }
 
+    // Only one thread at a time reads.
+    @SuppressWarnings("NonAtomicVolatileUpdate")
+    private void count(ByteBuffer buffer, int start, int length) {
+        for (int i = start; headBytes == 0 && i < start + length; i++) {
+            boolean matches = buffer.get(i) == HEAD_END[headEndMatched];
+            headEndMatched = matches ? headEndMatched + 1 : buffer.get(i) == HEAD_END[0] ? 1 : 0;
+            if (headEndMatched == HEAD_END.length) {
+                headBytes = bytesRead + i + 1 - start;
+            }
+        }
+        bytesRead += length;
+    }
+
+    /** Returns how the server ended the connection, as far as it was read. */
+    ConnectionEnd peerEnd() {
+        return peerEnd;
+    }
+
+    /** Returns the number of bytes read. */
+    long bytesRead() {
+        return bytesRead;
+    }
+
+    /** Returns the length of the head of the first response, or 0 if its end was not read. */
+    long headBytes() {
+        return headBytes;
+    }
+
     private void closeIfUnsolicited() throws UnsolicitedBytesException {
         if (state.compareAndSet(State.UNUSED, State.UNSOLICITED_BYTES)) {
             UnsolicitedBytesException failure = new UnsolicitedBytesException();
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/ResponseFraming.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/ResponseFraming.java
@@ -14,16 +14,16 @@
  */
 enum ResponseFraming {
     /** The length is known, or the protocol has frames of its own. */
-    EXPLICIT,
+    EXPLICIT("explicit"),
     /** The last chunk ends the body, also if the connection is closed afterwards. */
-    CHUNKED {
+    CHUNKED("chunks") {
         @Override
         void begin(Request request, Response response) {
             response.getHeaders().put(HttpHeader.TRANSFER_ENCODING, HttpHeaderValue.CHUNKED.asString());
         }
     },
     /** The end of the connection ends the body: an orderly one if it is complete, and a reset otherwise. */
-    END_OF_CONNECTION {
+    END_OF_CONNECTION("connection-end") {
         @Override
         void begin(Request request, Response response) {
             setResetOnClose(request, true);
@@ -35,6 +35,17 @@
         }
     };
 
+    private final String text;
+
+    ResponseFraming(String text) {
+        this.text = text;
+    }
+
+    /** Returns the name for logs. */
+    String text() {
+        return text;
+    }
+
     /** Returns the framing of a response whose headers are set. */
     static ResponseFraming of(Request request, Response response) {
         HttpVersion version = request.getConnectionMetaData().getHttpVersion();
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/ResponseSink.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/ResponseSink.java
@@ -23,6 +23,7 @@
     private final ByteArrayOutputStream recorded = new ByteArrayOutputStream();
     private boolean tooLong;
     private volatile boolean callerDisconnected;
+    private volatile long bytes;
 
     ResponseSink(Response response, boolean recording, @Nullable FlowPacer pacer) {
         this.response = response;
@@ -41,7 +42,10 @@
         pacer.charge(buffer.remaining(), () -> writeNow(last, buffer, callback));
     }
 
+    // Only one write is under way at a time.
+    @SuppressWarnings("NonAtomicVolatileUpdate")
     private void writeNow(boolean last, @Nullable ByteBuffer buffer, Callback callback) {
+        bytes += buffer == null ? 0 : buffer.remaining();
         if (recording && buffer != null) {
             record(buffer);
         }
@@ -59,6 +63,11 @@
         }));
     }
 
+    /** Returns the number of bytes handed to the caller's connection. */
+    long bytes() {
+        return bytes;
+    }
+
     /** Returns the recorded response body, or null if it was longer than {@link #MAX_RECORDED_BYTES}. */
     byte @Nullable [] recordedBytes() {
         return tooLong ? null : recorded.toByteArray();
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/telemetry/Metrics.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/telemetry/Metrics.java
@@ -27,6 +27,11 @@
     private final Counter attempts = counter("cowsliplatch_attempts_total", "Attempts at backend servers, by result")
             .labelNames("pool", "result")
             .register(registry);
+    private final Counter responses = counter(
+                    "cowsliplatch_responses_total",
+                    "Responses of backend servers, by how the body is delimited and how the server ended the connection")
+            .labelNames("framing", "end")
+            .register(registry);
     private final Counter retries = counter("cowsliplatch_retries_total", "Repeated attempts")
             .labelNames("pool")
             .register(registry);
@@ -81,6 +86,11 @@
         attempts.labelValues(pool, result).inc();
     }
 
+    /** Counts a response of a backend server, whole or not. */
+    public void response(String framing, String end) {
+        responses.labelValues(framing, end).inc();
+    }
+
     /** Counts a repeated attempt. */
     public void retry(String pool) {
         retries.labelValues(pool).inc();
