End a body only on evidence that it is complete

Cause: two faults of one class, "the end of the input is taken for the end of the body".

Change: ResponseBody, in the one place that all responses of servers and of key owners pass, ends a body only on the evidence of its framing: all bytes of its length, the last chunk, or an orderly end of the connection by the server without the head of a second response in what it sent. Such a response fails (SECOND_RESPONSE): it is retried if nothing of it was passed on, and cut otherwise. An end of the connection by the instance is no evidence any more.

--- a/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/TestSystem.java
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/TestSystem.java
@@ -93,6 +93,11 @@
                         known.service(), known.id() + "-relayed", address, known.region(), known.zone(), false));
     }
 
+    /** Returns the entry instances, oldest first. */
+    public List<EntryInstance> entries() {
+        return List.copyOf(entries);
+    }
+
     /** Starts an entry instance that knows the others. */
     public EntryInstance entry(String name) throws EntryStartException {
         List<InetSocketAddress> seeds =
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Attempt.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Attempt.java
@@ -96,7 +96,8 @@
             return;
         }
         responseAccepted = true;
-        ResponseBody body = new ResponseBody(content);
+        long declaredBytes = newResponse.getHeaders().getLongField(HttpHeader.CONTENT_LENGTH);
+        ResponseBody body = new ResponseBody(content, BodyFraming.of(newResponse), declaredBytes, this::connectionEnd);
         responseBody = body;
         listener.onResponse(
                 newResponse,
@@ -120,7 +121,12 @@
                 endPoint == null ? 0 : endPoint.headBytes(),
                 body == null ? 0 : body.bytes(),
                 endPoint == null ? 0 : endPoint.bytesRead(),
-                endPoint == null ? ConnectionEnd.NONE : endPoint.peerEnd());
+                connectionEnd());
+    }
+
+    private ConnectionEnd connectionEnd() {
+        ResetAwareEndPoint endPoint = endPoint();
+        return endPoint == null ? ConnectionEnd.NONE : endPoint.peerEnd();
     }
 
     private @Nullable ResetAwareEndPoint endPoint() {
@@ -193,6 +199,9 @@
         if (failure instanceof ResetAwareEndPoint.UnsolicitedBytesException) {
             return AttemptFailure.Kind.UNSOLICITED_BYTES;
         }
+        if (failure instanceof ResponseBody.SecondResponseException) {
+            return AttemptFailure.Kind.SECOND_RESPONSE;
+        }
         if (!requestBegun) {
             boolean refused = failure instanceof ConnectException;
             return refused ? AttemptFailure.Kind.CONNECTION_REFUSED : AttemptFailure.Kind.NOT_SENT;
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/AttemptFailure.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/AttemptFailure.java
@@ -29,6 +29,8 @@
         BROKEN_PROMISE(false, SlotOutcome.FAILED),
         /** The endpoint executed an idempotent request and responded with a 5xx status. */
         FAILED_ANSWER(false, SlotOutcome.FAILED),
+        /** A second response follows in a body that ends with the connection, so that the end of the first is not known. */
+        SECOND_RESPONSE(false, SlotOutcome.CUT),
         /** The connection was closed or reset. */
         CUT(false, SlotOutcome.CUT),
         /** The attempt timed out. */
