End the reset on close with the attempt that needed it

A body without a length goes to an HTTP/1.0 caller on a connection that is reset on close until its body is written. If that attempt fails before its first byte and another one responds with a length, the setting stayed, so a close with bytes still in the send buffer would have cut a whole response. ResponseFraming.end is now called when an attempt is repeated.

No caller was seen to lose bytes: the HTTP server ends its output and waits for the caller before it closes, so ResponseHeadTest passed before as well. Its other tests show that 204, 304 and HEAD announce no body, and that an interim response is not taken for the final one; they passed before too.

--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Exchange.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Exchange.java
@@ -617,6 +617,7 @@
 
     /** Starts another attempt, after {@link #shouldRetry} returned true. */
     void retry() {
+        framing.end(request);
         Headers.reset(response);
         context.metrics().retry(pool.name());
         acquire();
