--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Exchange.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Exchange.java
@@ -513,14 +513,8 @@
                 problem.outcome() == Outcome.NOT_RUN
                         ? new RecordedOutcome.NotRun(problem.detail())
                         : new RecordedOutcome.Unknown(problem.detail()));
-        boolean isCut = response.isCommitted();
-        Delivery.End end = isCut ? Delivery.End.CUT : Delivery.End.PROBLEM;
-        complete(
-                problem.outcome().text(),
-                problem.status(),
-                problem.detail(),
-                callerDisconnected ? Delivery.End.CALLER_LEFT : end);
-        if (isCut) {
+        complete(problem.outcome().text(), problem.status(), problem.detail(), endWithProblem());
+        if (response.isCommitted()) {
             callback.failed(new IllegalStateException(problem.detail()));
         } else {
             framing.end(request);
@@ -528,6 +522,13 @@
         }
     }
 
+    private Delivery.End endWithProblem() {
+        if (callerDisconnected) {
+            return Delivery.End.CALLER_LEFT;
+        }
+        return response.isCommitted() ? Delivery.End.CUT : Delivery.End.PROBLEM;
+    }
+
     /** Ends the request with the response that was recorded for an earlier copy. */
     void finishWithReplay(RecordedOutcome.Answer answer) {
         if (!finished.compareAndSet(false, true)) {
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/ResetAwareEndPoint.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/ResetAwareEndPoint.java
@@ -71,15 +71,22 @@
     @SuppressWarnings("NonAtomicVolatileUpdate")
     private void count(ByteBuffer buffer, int start, int length) {
         for (int i = start; headBytes == 0 && i < start + length; i++) {
-            boolean matches = buffer.get(i) == HEAD_END[headEndMatched];
-            headEndMatched = matches ? headEndMatched + 1 : buffer.get(i) == HEAD_END[0] ? 1 : 0;
-            if (headEndMatched == HEAD_END.length) {
+            if (isHeadEnd(buffer.get(i))) {
                 headBytes = bytesRead + i + 1 - start;
             }
         }
         bytesRead += length;
     }
 
+    private boolean isHeadEnd(byte next) {
+        if (next == HEAD_END[headEndMatched]) {
+            headEndMatched++;
+        } else {
+            headEndMatched = next == HEAD_END[0] ? 1 : 0;
+        }
+        return headEndMatched == HEAD_END.length;
+    }
+
     /** Returns how the server ended the connection, as far as it was read. */
     ConnectionEnd peerEnd() {
         return peerEnd;
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/SecondResponseDetector.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/SecondResponseDetector.java
@@ -56,7 +56,11 @@
     }
 
     private boolean isVersionComplete(byte next) {
-        versionMatched = next == VERSION[versionMatched] ? versionMatched + 1 : next == VERSION[0] ? 1 : 0;
+        if (next == VERSION[versionMatched]) {
+            versionMatched++;
+        } else {
+            versionMatched = next == VERSION[0] ? 1 : 0;
+        }
         if (versionMatched < VERSION.length) {
             return false;
         }
