Keep connections in the stutter soak, kill instances, and change tables

Now callers use open connections until the process is gone, stops overlap, one in four instances that leave is killed, and the configuration changes each time. Checks and bounds are as they were.

--- a/org.cowsliplatch.test/src/test/java/org/cowsliplatch/adapter/StutterSoakTest.java
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/adapter/StutterSoakTest.java
@@ -3,9 +3,13 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
+import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -17,13 +21,13 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /**
- * Seeded soak of entry instances as processes: backend servers stutter and cut their responses while instances are stopped
- * and started in turn, and callers check each body byte by byte.
+ * Seeded soak of entry instances as processes: backend servers stutter and cut their responses while instances are stopped,
+ * killed and started, and callers check each body byte by byte.
  */
 final class StutterSoakTest extends DeployedSystemFixture {
     private static final int SEEDS = Integer.getInteger("soak.seeds", 1);
     private static final long FIRST_SEED = Long.getLong("soak.firstSeed", 1);
-    private static final int INSTANCES = 2;
+    private static final int INSTANCES = 3;
     private static final int STOP_SECONDS = 2;
     private static final int ENDPOINTS = 8;
     private static final int SLOTS = 40;
@@ -31,6 +35,8 @@
     private static final int CALLER_TIMEOUT_MS = 3_000;
     private static final long PLAY_MS = 9_000;
     private static final long CALM_MS = 1_500;
+    /** One in so many instances that leave is killed. */
+    private static final int KILLED_ONE_IN = 4;
     /** One in so many responses is not sound. */
     private static final int FAULTY_ONE_IN = 3;
 
@@ -89,10 +95,13 @@
             callers.add(new Thread(() -> call(number, seed), "soak-caller-" + i));
         }
         callers.forEach(Thread::start);
+        int version = 1;
         long until = System.nanoTime() + PLAY_MS * 1_000_000;
         while (System.nanoTime() < until) {
             Thread.sleep(CALM_MS + random.nextInt(500));
-            restart(random.nextInt(INSTANCES));
+            live.removeIf(process -> !process.isAlive());
+            disturb(random);
+            configure(++version, random.nextBoolean() ? "1.2" : "0.9");
         }
         stopped = true;
         for (Thread caller : callers) {
@@ -119,32 +128,61 @@
         }
     }
 
-    /** Stops an instance as planned and starts another; callers use it until its process is gone. */
-    private void restart(int index) throws Exception {
-        EntryProcess leaving = live.get(index);
-        leaving.terminate();
+    /** Stops or kills an instance and starts another; callers use it until its process is gone. */
+    private void disturb(SplittableRandom random) throws Exception {
+        EntryProcess leaving = live.get(random.nextInt(live.size()));
+        if (random.nextInt(KILLED_ONE_IN) == 0) {
+            leaving.kill();
+        } else {
+            leaving.terminate();
+        }
         startInstance("entry-" + started.size());
-        awaitWithin(STOP_SECONDS * 1_000 + 10_000, "the stopped process ends", () -> !leaving.isAlive());
-        live.remove(leaving);
     }
 
     private void call(int caller, long seed) {
         SplittableRandom random = new SplittableRandom(seed * CALLERS + caller);
         CallerProtocol[] protocols = CallerProtocol.values();
+        Map<EntryProcess, CallerConnection> kept = new HashMap<>();
         for (int i = 0; !stopped; i++) {
             CallerProtocol protocol = protocols[random.nextInt(protocols.length)];
             boolean booking = random.nextInt(4) == 0;
             String path = (booking ? "/book/" : "/look/") + caller + "-" + i;
-            EntryProcess process = live.get(random.nextInt(live.size()));
-            Received received =
-                    protocol.send(process.listen().caller(), booking ? "POST" : "GET", path, CALLER_TIMEOUT_MS);
-            ServerResponse response = responseTo(path, seed);
-            String violation = response.falseCompleteness(CallerProtocol.requestId(path), received);
-            if (!violation.isEmpty()) {
-                violations.add(path + " by " + protocol + ", " + response + ": " + violation);
-            } else if (received.isCompleteSuccess()) {
-                wholeResponses.incrementAndGet();
+            List<EntryProcess> running = List.copyOf(live);
+            EntryProcess process = running.get(random.nextInt(running.size()));
+            check(path, seed, protocol, send(protocol, process, booking ? "POST" : "GET", path, kept));
+        }
+        kept.values().forEach(CallerConnection::close);
+    }
+
+    private static Received send(
+            CallerProtocol protocol,
+            EntryProcess process,
+            String method,
+            String path,
+            Map<EntryProcess, CallerConnection> kept) {
+        InetSocketAddress entry = process.listen().caller();
+        if (protocol != CallerProtocol.HTTP_1_1_KEPT) {
+            return protocol.send(entry, method, path, CALLER_TIMEOUT_MS);
+        }
+        try {
+            CallerConnection connection = kept.get(process);
+            if (connection == null || !connection.isReusable()) {
+                connection = new CallerConnection(protocol, entry, CALLER_TIMEOUT_MS);
+                kept.put(process, connection);
             }
+            return connection.send(method, path);
+        } catch (IOException e) {
+            return Received.broken(String.valueOf(e.getMessage()));
+        }
+    }
+
+    private void check(String path, long seed, CallerProtocol protocol, Received received) {
+        ServerResponse response = responseTo(path, seed);
+        String violation = response.falseCompleteness(CallerProtocol.requestId(path), received);
+        if (!violation.isEmpty()) {
+            violations.add(path + " by " + protocol + ", " + response + ": " + violation);
+        } else if (received.isCompleteSuccess()) {
+            wholeResponses.incrementAndGet();
         }
     }
 
