Read a failed body again also after its last piece, in the test of that

A mutant that doesn't keep the failure of a body passed failureIsReadAgain, since a source that failed before its last piece says so itself. The test now also fails after the last piece.

--- a/org.cowsliplatch.test/src/test/java/org/cowsliplatch/internal/proxy/ResponseBodyTest.java
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/internal/proxy/ResponseBodyTest.java
@@ -62,10 +62,12 @@
 
     @Test
     void failureIsReadAgain() {
-        ResponseBody body = new ResponseBody(
-                source(List.of("body", HEAD)), BodyFraming.CONNECTION_END, -1, () -> ConnectionEnd.CLOSED);
-        assertThat(isComplete(body)).isFalse();
-        assertThat(isComplete(body)).isFalse();
+        for (String second : List.of(HEAD, "HTTP/1.1 200")) {
+            ResponseBody body = new ResponseBody(
+                    source(List.of("body", second)), BodyFraming.CONNECTION_END, -1, () -> ConnectionEnd.CLOSED);
+            assertWithMessage(second).that(isComplete(body)).isFalse();
+            assertWithMessage(second).that(isComplete(body)).isFalse();
+        }
     }
 
     @Property(tries = 300)
