Move how a response ends to a package of its own

BodyFraming, ConnectionEnd and the part of ResetAwareEndPoint that tells a reset from an orderly close are in internal.http now. What only connections to backend servers need (bytes before the request, counts) is BackendEndPoint.

Behaviour is as it was: CutResponseTest, ResponseIntegrityTest, EndlessResponseTest, ResponseBodyTest and SecondResponseTest passed.

--- a/org.cowsliplatch.test/src/test/java/org/cowsliplatch/internal/proxy/ResponseBodyTest.java
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/internal/proxy/ResponseBodyTest.java
@@ -9,6 +9,8 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
+import org.cowsliplatch.internal.http.BodyFraming;
+import org.cowsliplatch.internal.http.ConnectionEnd;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.io.content.ByteBufferContentSource;
 import org.junit.jupiter.api.Test;
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/BodyFraming.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/http/BodyFraming.java
@@ -1,4 +1,4 @@
-package org.cowsliplatch.internal.proxy;
+package org.cowsliplatch.internal.http;
 
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.http.HttpHeader;
@@ -6,7 +6,7 @@
 import org.eclipse.jetty.http.HttpStatus;
 
 /** How a backend server delimits the body of a response (RFC 9112, section 6.3). */
-enum BodyFraming {
+public enum BodyFraming {
     /** There is no body, by the method or the status. */
     NONE("none"),
     LENGTH("length"),
@@ -20,7 +20,7 @@
     }
 
     /** Returns the framing of a response whose head was read. */
-    static BodyFraming of(Response response) {
+    public static BodyFraming of(Response response) {
         int status = response.getStatus();
         boolean isHead = HttpMethod.HEAD.is(response.getRequest().getMethod());
         if (isHead || status == HttpStatus.NO_CONTENT_204 || status == HttpStatus.NOT_MODIFIED_304) {
@@ -33,7 +33,7 @@
     }
 
     /** Returns the name for logs. */
-    String text() {
+    public String text() {
         return text;
     }
 }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/ConnectionEnd.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/http/ConnectionEnd.java
@@ -1,7 +1,7 @@
-package org.cowsliplatch.internal.proxy;
+package org.cowsliplatch.internal.http;
 
 /** How a backend server ended a connection, as far as it was read. */
-enum ConnectionEnd {
+public enum ConnectionEnd {
     /** The server has not ended it; if it is closed, this instance closed it. */
     NONE("none"),
     /** The server closed it in order (FIN). */
@@ -16,7 +16,7 @@
     }
 
     /** Returns the name for logs. */
-    String text() {
+    public String text() {
         return text;
     }
 }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Attempt.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Attempt.java
@@ -8,6 +8,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.cowsliplatch.internal.http.BodyFraming;
+import org.cowsliplatch.internal.http.ConnectionEnd;
 import org.eclipse.jetty.client.Connection;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
@@ -114,7 +116,7 @@
             return null;
         }
         ResponseBody body = responseBody;
-        ResetAwareEndPoint endPoint = endPoint();
+        BackendEndPoint endPoint = endPoint();
         return new ReceivedResponse(
                 currentResponse.getStatus(),
                 BodyFraming.of(currentResponse),
@@ -125,13 +127,13 @@
     }
 
     private ConnectionEnd connectionEnd() {
-        ResetAwareEndPoint endPoint = endPoint();
+        BackendEndPoint endPoint = endPoint();
         return endPoint == null ? ConnectionEnd.NONE : endPoint.peerEnd();
     }
 
-    private @Nullable ResetAwareEndPoint endPoint() {
+    private @Nullable BackendEndPoint endPoint() {
         return connection instanceof org.eclipse.jetty.io.Connection current
-                        && current.getEndPoint() instanceof ResetAwareEndPoint endPoint
+                        && current.getEndPoint() instanceof BackendEndPoint endPoint
                 ? endPoint
                 : null;
     }
@@ -196,7 +198,7 @@
         if (failure instanceof org.eclipse.jetty.http.HttpException) {
             return AttemptFailure.Kind.BODY_FAILED;
         }
-        if (failure instanceof ResetAwareEndPoint.UnsolicitedBytesException) {
+        if (failure instanceof BackendEndPoint.UnsolicitedBytesException) {
             return AttemptFailure.Kind.UNSOLICITED_BYTES;
         }
         if (failure instanceof ResponseBody.SecondResponseException) {
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/BackendClient.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/BackendClient.java
@@ -72,7 +72,7 @@
         ClientConnector connector = new ClientConnector() {
             @Override
             protected EndPoint newEndPoint(SelectableChannel channel, ManagedSelector selector, SelectionKey key) {
-                return new ResetAwareEndPoint((SocketChannel) channel, selector, key, getScheduler());
+                return new BackendEndPoint((SocketChannel) channel, selector, key, getScheduler());
             }
         };
         connector.setExecutor(threads);
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/ResetAwareEndPoint.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/BackendEndPoint.java
@@ -2,24 +2,20 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.channels.ClosedChannelException;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.atomic.AtomicReference;
+import org.cowsliplatch.internal.http.ResetAwareEndPoint;
 import org.eclipse.jetty.io.ManagedSelector;
-import org.eclipse.jetty.io.SocketChannelEndPoint;
-import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.thread.Scheduler;
 
 /**
- * Connection to a backend server that distinguishes a reset from an orderly close, and that closes if bytes arrive
- * before a request was sent.
+ * Connection to a backend server that counts what it reads, and that closes if bytes arrive before a request was sent.
  *
- * <p>Jetty's own end point reports both ends as end of stream, so a response without a length that was truncated by a
- * reset would look complete. Jetty's parser takes bytes that arrive before the request for an unsolicited response and
- * drops all that follows, including the response to the request that is sent afterwards.
+ * <p>Jetty's parser takes bytes that arrive before the request for an unsolicited response and drops all that follows,
+ * including the response to the request that is sent afterwards.
  */
-final class ResetAwareEndPoint extends SocketChannelEndPoint {
+final class BackendEndPoint extends ResetAwareEndPoint {
     private enum State {
         UNUSED,
         REQUEST_SENT,
@@ -30,41 +26,22 @@
     private static final byte[] HEAD_END = {'\r', '\n', '\r', '\n'};
 
     private final AtomicReference<State> state = new AtomicReference<>(State.UNUSED);
-    private volatile ConnectionEnd peerEnd = ConnectionEnd.NONE;
     private volatile long bytesRead;
     private volatile long headBytes;
     private int headEndMatched;
 
-    ResetAwareEndPoint(SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler) {
+    BackendEndPoint(SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler) {
         super(channel, selector, key, scheduler);
     }
 
     @Override
     public int fill(ByteBuffer buffer) throws IOException {
-        if (isInputShutdown()) {
-            return -1;
-        }
-        int position = BufferUtil.flipToFill(buffer);
-        try {
-            int start = buffer.position();
-            int filled = getChannel().read(buffer);
-            if (filled > 0) {
-                closeIfUnsolicited();
-                notIdle();
-                count(buffer, start, filled);
-            } else if (filled < 0) {
-                peerEnd = ConnectionEnd.CLOSED;
-                shutdownInput();
-            }
-            return filled;
-        } catch (ClosedChannelException | UnsolicitedBytesException e) {
-            throw e;
-        } catch (IOException e) {
-            peerEnd = ConnectionEnd.RESET;
-            throw e;
-        } finally {
-            BufferUtil.flipToFlush(buffer, position);
+        int filled = super.fill(buffer);
+        if (filled > 0) {
+            closeIfUnsolicited();
+            count(buffer, buffer.limit() - filled, filled);
         }
+        return filled;
     }
 
     // Only one thread at a time reads.
@@ -87,11 +64,6 @@
         return headEndMatched == HEAD_END.length;
     }
 
-    /** Returns how the server ended the connection, as far as it was read. */
-    ConnectionEnd peerEnd() {
-        return peerEnd;
-    }
-
     /** Returns the number of bytes read. */
     long bytesRead() {
         return bytesRead;
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/ReceivedResponse.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/ReceivedResponse.java
@@ -2,6 +2,8 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
+import org.cowsliplatch.internal.http.BodyFraming;
+import org.cowsliplatch.internal.http.ConnectionEnd;
 
 /**
  * What was read of a backend server's response.
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/ResponseBody.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/ResponseBody.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.util.function.Supplier;
+import org.cowsliplatch.internal.http.BodyFraming;
+import org.cowsliplatch.internal.http.ConnectionEnd;
 import org.eclipse.jetty.io.Content;
 import org.jspecify.annotations.Nullable;
 
