--- a/org.cowsliplatch.test/src/test/java/org/cowsliplatch/adapter/SecondResponseTest.java
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/adapter/SecondResponseTest.java
@@ -21,26 +21,35 @@
 import org.cowsliplatch.platform.Instance;
 import org.cowsliplatch.test.Await;
 import org.cowsliplatch.test.TestSystem;
+import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.ContentResponse;
 import org.eclipse.jetty.client.Request;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-/** Guards the product's own interface, its HTTP/2 callers and its recorded responses against a second response in a body. */
+/**
+ * Guards the product's own interface, its HTTP/2 callers and its recorded responses against a second response in a body, and
+ * against a response that is reset during an upload.
+ */
 final class SecondResponseTest {
     private static final String ROUTES = """
             cases,127.0.0.1,/cases,GET,lookup,yes,cases,2s
             bookings,127.0.0.1,/bookings,POST,urgent,no,bookings,2s
+            uploads,127.0.0.1,/upload,POST,upload,no,uploads,4s
             """;
     private static final String POOLS = """
             cases,case-lookup,10,svealand=100,0s,100
             bookings,booking,10,svealand=100,0s,100
+            uploads,memorial-archive,10,svealand=100,0s,100
             """;
     private static final String WHOLE = "whole";
+    private static final int UPLOAD_BYTES = 2_000_000;
+    private static final int UPLOADS = 10;
 
     private final TestSystem system;
     private final ScriptedServer server;
+    private final EarlyResponseServer earlyServer = new EarlyResponseServer();
 
     SecondResponseTest() throws Exception {
         system = new TestSystem();
@@ -55,12 +64,9 @@
 
     @BeforeEach
     void start() throws Exception {
-        for (String service : List.of("case-lookup", "booking")) {
-            String address = server.address();
-            system.platform()
-                    .instances()
-                    .put(new Instance(service, service + "-1", address, "svealand", "svealand-a", false));
-        }
+        list("case-lookup", server.address());
+        list("booking", server.address());
+        list("memorial-archive", earlyServer.address());
         EntryInstance first = system.entry("entry-1");
         EntryInstance second = system.entry("entry-2");
         system.apply(ROUTES, POOLS);
@@ -79,10 +85,17 @@
         Await.until("both instances are members", () -> lookUp().size() == 2);
     }
 
+    private void list(String service, String address) {
+        system.platform()
+                .instances()
+                .put(new Instance(service, service + "-1", address, "svealand", "svealand-a", false));
+    }
+
     @AfterEach
     void stop() throws Exception {
         system.close();
         server.close();
+        earlyServer.close();
     }
 
     private Request request(EntryInstance entry, String method, String path) {
@@ -160,8 +173,33 @@
         }
     }
 
+    @Test
+    void partOfAResponseIsNeitherForwardedByTheOwnerOfAKeyNorReplayed() {
+        String path = EarlyResponseServer.Ending.RESET_MIDWAY.path();
+        for (EntryLookup.Entry owner : lookUp()) {
+            for (int i = 0; i < UPLOADS; i++) {
+                String key = CallerClient.newKey(owner);
+                for (EntryInstance entry : system.entries()) {
+                    Request upload = withKey(request(entry, "POST", path), key)
+                            .body(new BytesRequestContent(new byte[UPLOAD_BYTES]));
+                    assertWithMessage("%s, key of %s", i, owner.name())
+                            .that(isSuccess(upload))
+                            .isFalse();
+                }
+            }
+        }
+        assertThat(earlyServer.hasResponded()).isTrue();
+    }
+
     private boolean isSuccess(EntryInstance entry, String path, String key) {
-        Request request = request(entry, "POST", path).headers(headers -> headers.put("Idempotency-Key", key));
+        return isSuccess(withKey(request(entry, "POST", path), key));
+    }
+
+    private static Request withKey(Request request, String key) {
+        return request.headers(headers -> headers.put("Idempotency-Key", key));
+    }
+
+    private static boolean isSuccess(Request request) {
         try {
             ContentResponse response = request.send();
             return response.getStatus() == 200;
