Reject a response of another major version of HTTP

What callers got: a response whose status line names HTTP/2.0 reached them as a response of the backend server. A message of that version can't come on a connection of HTTP/1.1; the bytes are no response.

Cause: the HTTP client's parser knows more versions than its connection can carry, and nothing else looked at the version.

Change: Attempt accepts HTTP/1.1 and HTTP/1.0 and rejects others like a response that the endpoint did not send: tried again if the request is idempotent, otherwise 502 with an unknown outcome.

Evidence: MalformedResponseTest has a test for each malformed status line, field, framing, chunk and trailer, each for an idempotent and a non-idempotent request, 208 in all. 206 passed on, also all of a status 000 and its neighbours and of field names with a blank or a control byte, in the final head, an interim one or a trailer. So nothing is changed for those. The two of HTTP/2.0 failed before and pass now.

A body whose last chunk was received is complete, also if its trailer is cut (RFC 9112, section 8).

--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Attempt.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Attempt.java
@@ -16,6 +16,7 @@
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpVersion;
 import org.eclipse.jetty.io.Content;
 import org.jspecify.annotations.Nullable;
 
@@ -91,7 +92,8 @@
 
     private void onContent(Response newResponse, Content.Source content) {
         response = newResponse;
-        AttemptFailure.Kind reason = listener.validate(newResponse);
+        AttemptFailure.Kind reason =
+                isHttp1(newResponse) ? listener.validate(newResponse) : AttemptFailure.Kind.FOREIGN_ANSWER;
         if (reason != null) {
             rejection = reason;
             discard(newResponse, content, reason);
@@ -108,6 +110,11 @@
                         () -> onCopyComplete(newResponse, null), failure -> onCopyComplete(newResponse, failure)));
     }
 
+    /** Returns whether the message is of a version that its connection can carry; the parser accepts others as well. */
+    private static boolean isHttp1(Response response) {
+        return response.getVersion() == HttpVersion.HTTP_1_1 || response.getVersion() == HttpVersion.HTTP_1_0;
+    }
+
     /** Returns what was read of the response, or null if its head was not. */
     @Nullable
     ReceivedResponse received() {
@@ -154,7 +161,11 @@
     private void endRejected(Response response, AttemptFailure.Kind reason) {
         if (ended.compareAndSet(false, true)) {
             listener.onFailure(
-                    new AttemptFailure(reason, address + " responded with status " + response.getStatus()), false);
+                    new AttemptFailure(
+                            reason,
+                            address + " responded with status " + response.getStatus() + " in "
+                                    + response.getVersion()),
+                    false);
         }
     }
 
