Require that each upload of the early-response tests was responded to

A request that is refused because its endpoints are ejected would pass these tests without a response of the backend server.

--- a/org.cowsliplatch.test/src/test/java/org/cowsliplatch/adapter/SecondResponseTest.java
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/adapter/SecondResponseTest.java
@@ -176,7 +176,8 @@
     @Test
     void partOfAResponseIsNeitherForwardedByTheOwnerOfAKeyNorReplayed() {
         String path = EarlyResponseServer.Ending.RESET_MIDWAY.path();
-        for (EntryLookup.Entry owner : lookUp()) {
+        List<EntryLookup.Entry> owners = lookUp();
+        for (EntryLookup.Entry owner : owners) {
             for (int i = 0; i < UPLOADS; i++) {
                 String key = CallerClient.newKey(owner);
                 for (EntryInstance entry : system.entries()) {
@@ -188,7 +189,7 @@
                 }
             }
         }
-        assertThat(earlyServer.hasResponded()).isTrue();
+        Await.until("each key was used", () -> earlyServer.responses() == owners.size() * UPLOADS);
     }
 
     private boolean isSuccess(EntryInstance entry, String path, String key) {
