Log which tables decided a request, how they came, and when the store was last heard

A request's line named the version in force at its end. It now has the version that decided it, who delivered that, for how long it has been in force and the time since the store was last heard, itself or through a peer. So do refusals for want of a route. store-lost tells when the last answer came, and a step whether its response announced that the server leaves.

--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/DeployedEntry.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/DeployedEntry.java
@@ -35,6 +35,7 @@
 import org.cowsliplatch.internal.proxy.EntryContext;
 import org.cowsliplatch.internal.proxy.ServingPolicy;
 import org.cowsliplatch.internal.proxy.SteeringHandler;
+import org.cowsliplatch.internal.proxy.TablesOrigin;
 import org.cowsliplatch.internal.steer.EntryAddressSelector;
 import org.cowsliplatch.internal.steer.Headroom;
 import org.cowsliplatch.internal.steer.RegionChooser;
@@ -69,6 +70,7 @@
     private static final Duration CALLER_DELAY = Duration.ofMillis(40);
 
     private static final double NANOS_PER_SECOND = 1e9;
+    private static final double MILLIS_PER_SECOND = 1e3;
 
     private final DeploymentSettings settings;
     private final PlatformFormat format;
@@ -158,6 +160,10 @@
                 "cowsliplatch_configuration_age_seconds",
                 "Time since the configuration in force came into force here",
                 () -> (ticker.nanos() - tablesSinceNanos) / NANOS_PER_SECOND);
+        metrics.gauge(
+                "cowsliplatch_store_heard_seconds",
+                "Time since the store was last heard, also through a peer",
+                () -> store.heardMs() / MILLIS_PER_SECOND);
         metrics.gauge("cowsliplatch_ready", "1 if requests are served", () -> isReady() ? 1 : 0);
         metrics.gauge(
                 "cowsliplatch_peer_sent_bytes", "Bytes of frames sent to peers since the start", transport::sentBytes);
@@ -222,6 +228,7 @@
                 settings.instance(),
                 ticker,
                 views::current,
+                this::tablesOrigin,
                 broker,
                 new RegionChooser(
                         settings.region(), () -> ThreadLocalRandom.current().nextDouble()),
@@ -247,6 +254,14 @@
                 decisions);
     }
 
+    private TablesOrigin tablesOrigin(long version) {
+        long heardMs = store.heardMs();
+        return version == log.current().number()
+                ? new TablesOrigin(
+                        log.source(), TimeUnit.NANOSECONDS.toMillis(ticker.nanos() - tablesSinceNanos), heardMs)
+                : new TablesOrigin("", 0, heardMs);
+    }
+
     /**
      * Returns the number of entry instances that share the retry budgets: the configured number, or the most that were
      * ever known at once if that is more. An instance that can't be reached may still use its share. While the others are
@@ -285,6 +300,7 @@
                 .line("configuration-in-force")
                 .with("version", version.number())
                 .with("digest", version.digest())
+                .with("source", log.source())
                 .write(DecisionLog.Weight.NOTABLE);
         metrics.tableVersion(version.number());
         tablesSinceNanos = ticker.nanos();
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/RunningEntry.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/RunningEntry.java
@@ -39,6 +39,7 @@
 import org.cowsliplatch.internal.proxy.EntryContext;
 import org.cowsliplatch.internal.proxy.Headers;
 import org.cowsliplatch.internal.proxy.ServingPolicy;
+import org.cowsliplatch.internal.proxy.TablesOrigin;
 import org.cowsliplatch.internal.steer.EntryLookup;
 import org.cowsliplatch.internal.steer.Headroom;
 import org.cowsliplatch.internal.steer.InstanceFollower;
@@ -238,6 +239,7 @@
                 settings.instance(),
                 ticker,
                 views::current,
+                version -> TablesOrigin.UNKNOWN,
                 broker,
                 new RegionChooser(
                         settings.region(), () -> ThreadLocalRandom.current().nextDouble()),
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/StoreFollower.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/StoreFollower.java
@@ -153,6 +153,12 @@
         return Math.max(operatorWatcher.era(), endpointWatcher.era());
     }
 
+    /** Returns the time in ms since the store was last heard about each of the tables, also through a peer. */
+    long heardMs() {
+        long nanos = Math.min(operatorWatcher.heardNanos(), endpointWatcher.heardNanos());
+        return TimeUnit.NANOSECONDS.toMillis(ticker.nanos() - nanos);
+    }
+
     /** Returns the maximum length of a request body in bytes. */
     long bodyBytes() {
         return bodyBytes;
@@ -352,7 +358,7 @@
             long number = configuration.tables().number();
             documents.put(number, new String(row.value().orElse(new byte[0]), StandardCharsets.UTF_8));
             try {
-                log.adopt("the store", configuration.tables());
+                log.adopt(operatorWatcher.source(), configuration.tables());
                 bodyBytes = configuration.bodyBytes();
                 documents.keySet().removeIf(known -> known < log.current().number());
             } catch (TableRegressionException e) {
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/follow/ChangeRelay.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/follow/ChangeRelay.java
@@ -28,6 +28,14 @@
  * <p>Does no I/O and has no thread of its own; thread-safe.
  */
 public final class ChangeRelay {
+    /**
+     * Changes that were relayed.
+     *
+     * @param reader name of the entry instance that read them
+     * @param changes the changes
+     */
+    public record Relayed(String reader, PeerMessage.StoreChanges changes) {}
+
     /** Readers per region; enough to relay changes while one is cut off from the store and another is down. */
     private static final int READERS_PER_REGION = 3;
     /** Number of members in a region up to which all are readers; relaying would save little. */
@@ -50,7 +58,7 @@
     private final Ticker ticker;
     private final PeerSender peers;
     private final Map<String, Long> lastSeenNanos = new ConcurrentHashMap<>();
-    private final Map<String, BlockingQueue<PeerMessage.StoreChanges>> inboxes = new ConcurrentHashMap<>();
+    private final Map<String, BlockingQueue<Relayed>> inboxes = new ConcurrentHashMap<>();
     private final Map<String, Long> lastRelayedNanos = new ConcurrentHashMap<>();
     private volatile Set<String> readers = Set.of();
     private volatile List<String> followers = List.of();
@@ -101,8 +109,8 @@
     public void receive(String from, PeerMessage.StoreChanges changes) {
         markAlive(from);
         lastRelayedNanos.put(changes.table(), ticker.nanos());
-        BlockingQueue<PeerMessage.StoreChanges> inbox = inbox(changes.table());
-        if (!inbox.offer(changes)) {
+        BlockingQueue<Relayed> inbox = inbox(changes.table());
+        if (!inbox.offer(new Relayed(from, changes))) {
             // The dropped changes are detected by the versions of the next ones, and read from the store.
             inbox.clear();
         }
@@ -133,7 +141,7 @@
      * @param timeoutMs longest wait in ms
      * @throws InterruptedException if the thread is interrupted while waiting
      */
-    public Optional<PeerMessage.StoreChanges> poll(String table, long timeoutMs) throws InterruptedException {
+    public Optional<Relayed> poll(String table, long timeoutMs) throws InterruptedException {
         return Optional.ofNullable(inbox(table).poll(timeoutMs, TimeUnit.MILLISECONDS));
     }
 
@@ -150,7 +158,7 @@
         }
     }
 
-    private BlockingQueue<PeerMessage.StoreChanges> inbox(String table) {
+    private BlockingQueue<Relayed> inbox(String table) {
         return inboxes.computeIfAbsent(table, key -> new LinkedBlockingQueue<>(INBOX_CAPACITY));
     }
 }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/follow/StoreTableWatcher.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/follow/StoreTableWatcher.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.cowsliplatch.errors.HistoryLostException;
 import org.cowsliplatch.errors.PlatformUnavailableException;
@@ -45,6 +46,9 @@
         void batchCompleted();
     }
 
+    /** Source of answers to this entry instance's own reads. */
+    private static final String DIRECTLY = "the store";
+
     /** Time in ms over which changes are batched into one read, because calls to the store are expensive. */
     private static final long BATCH_MS = 150;
     /** Longest wait in ms for relayed changes before checking again whether to read the store directly. */
@@ -68,6 +72,8 @@
     private final PollDelay delay;
     private final Set<String> knownKeys = new HashSet<>();
     private volatile StorePosition position = StorePosition.NONE;
+    private volatile String source = DIRECTLY;
+    private volatile long heardNanos;
     private boolean needsFullRead = true;
     /** Time in ns of the first of the latest answers that were all older than the known position, or unset. */
     private OptionalLong outdatedSinceNanos = OptionalLong.empty();
@@ -105,6 +111,7 @@
         this.listener = listener;
         this.decisions = decisions;
         this.relay = relay;
+        this.heardNanos = ticker.nanos();
         this.delay = new PollDelay(INITIAL_BACKOFF_MS, MAX_BACKOFF_MS, random);
     }
 
@@ -126,7 +133,7 @@
                     .write(DecisionLog.Weight.NOTABLE);
         }
         if (nowRelayed) {
-            Optional<PeerMessage.StoreChanges> changes = relay.poll(table, RELAY_WAIT_MS);
+            Optional<ChangeRelay.Relayed> changes = relay.poll(table, RELAY_WAIT_MS);
             if (changes.isEmpty() || applyRelayed(changes.get())) {
                 return 0;
             }
@@ -154,7 +161,8 @@
     }
 
     /** Applies changes that a peer read; returns false without applying them if earlier changes were missed. */
-    private boolean applyRelayed(PeerMessage.StoreChanges changes) {
+    private boolean applyRelayed(ChangeRelay.Relayed relayedChanges) {
+        PeerMessage.StoreChanges changes = relayedChanges.changes();
         StorePosition known = position;
         if (known.isRestoredIn(changes.era())) {
             needsFullRead = true;
@@ -166,7 +174,7 @@
         if (changes.after() > known.version()) {
             return false;
         }
-        storeAnswered();
+        storeAnswered("the store through " + relayedChanges.reader());
         List<RowStore.Row> newRows = changes.rows().stream()
                 .filter(row -> row.version() > known.version())
                 .toList();
@@ -180,7 +188,7 @@
     private boolean readChanges() throws HistoryLostException, PlatformUnavailableException {
         StorePosition known = position;
         RowStore.Rows changes = store.follow(table, known.version(), relay.isRelayed(table) ? Duration.ZERO : wait);
-        storeAnswered();
+        storeAnswered(DIRECTLY);
         if (known.isRestoredIn(changes.era()) || known.resolve(changes.era()) < known.era()) {
             // The versions are of another life of the store, so changes may be missing between the known one and these.
             needsFullRead = true;
@@ -202,7 +210,7 @@
             throw new PlatformUnavailableException(
                     "the store", "read " + after + " of table " + table + ", which is older than " + before, null);
         }
-        storeAnswered();
+        storeAnswered(DIRECTLY);
         outdatedSinceNanos = OptionalLong.empty();
         if (restored) {
             storeRestored(before, after);
@@ -275,7 +283,19 @@
         return storeRegainedNanos != Long.MIN_VALUE && ticker.nanos() - storeRegainedNanos < ROW_RESTORE_GRACE_NANOS;
     }
 
-    private void storeAnswered() {
+    /** Returns who delivered the latest answer of the store, for logs. */
+    public String source() {
+        return source;
+    }
+
+    /** Returns the time in ns of the latest answer of the store, also one that a peer relayed. */
+    public long heardNanos() {
+        return heardNanos;
+    }
+
+    private void storeAnswered(String from) {
+        source = from;
+        heardNanos = ticker.nanos();
         if (!storeUnavailable) {
             return;
         }
@@ -300,6 +320,7 @@
                 .with("table", table)
                 .with("era", position.era())
                 .with("version", position.version())
+                .with("heardMs", TimeUnit.NANOSECONDS.toMillis(ticker.nanos() - heardNanos))
                 .with("reason", e.text())
                 .write(DecisionLog.Weight.NOTABLE);
     }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/EndpointAttemptListener.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/EndpointAttemptListener.java
@@ -36,6 +36,7 @@
                 exchange.context().dialect(), exchange.requestId(), response.getStatus(), response.getHeaders());
         if (rejection == null || rejection.isFromEndpoint()) {
             noticeLimit(response.getHeaders());
+            noticeLeaving(response.getHeaders());
         }
         if (rejection != null || !retriesErrorResponse(response.getStatus())) {
             return rejection;
@@ -45,6 +46,13 @@
         return retrying ? AttemptFailure.Kind.FAILED_ANSWER : null;
     }
 
+    private void noticeLeaving(HttpFields headers) {
+        String value = exchange.context().dialect().leaving().map(headers::get).orElse(null);
+        if (value != null) {
+            exchange.leavingAnnounced(value.substring(0, Math.min(value.length(), MAX_LOGGED_CHARACTERS)));
+        }
+    }
+
     private void noticeLimit(HttpFields headers) {
         String header = exchange.context().dialect().serverLimit().orElse(null);
         if (header == null) {
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/EntryContext.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/EntryContext.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.LongFunction;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.cowsliplatch.internal.limit.RetryBudgets;
@@ -25,6 +26,7 @@
  * @param instanceName name of this entry instance
  * @param ticker clock
  * @param view current tables, endpoints and members
+ * @param tablesOrigin returns the origin of a version of the tables, by its number
  * @param slots grants slots
  * @param regionChooser chooses the region of a request
  * @param retryBudgets retry budgets by pool
@@ -46,6 +48,7 @@
         String instanceName,
         Ticker ticker,
         Supplier<SteeringView> view,
+        LongFunction<TablesOrigin> tablesOrigin,
         SlotSource slots,
         RegionChooser regionChooser,
         RetryBudgets retryBudgets,
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Exchange.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Exchange.java
@@ -42,6 +42,8 @@
  */
 final class Exchange {
     private final EntryContext context;
+    private final long tablesNumber;
+    private final TablesOrigin tablesOrigin;
     private final Route route;
     private final Pool pool;
     private final Request request;
@@ -76,8 +78,22 @@
     /** Whether a planned stop that had begun when the request arrived leaves too little time for it. */
     private boolean refusedByStop;
 
-    Exchange(EntryContext context, Route route, Pool pool, Request request, Response response, Callback callback) {
+    /**
+     * Creates an exchange that is not started.
+     *
+     * @param tablesNumber number of the tables that have the route and the pool
+     */
+    Exchange(
+            EntryContext context,
+            long tablesNumber,
+            Route route,
+            Pool pool,
+            Request request,
+            Response response,
+            Callback callback) {
         this.context = context;
+        this.tablesNumber = tablesNumber;
+        this.tablesOrigin = context.tablesOrigin().apply(tablesNumber);
         this.route = route;
         this.pool = pool;
         this.request = request;
@@ -158,6 +174,15 @@
         return route;
     }
 
+    /** Returns the number of the tables that decided this request. */
+    long tablesNumber() {
+        return tablesNumber;
+    }
+
+    TablesOrigin tablesOrigin() {
+        return tablesOrigin;
+    }
+
     Span span() {
         return span;
     }
@@ -553,6 +578,11 @@
         span.end();
     }
 
+    /** Records that the response of the present attempt has the header by which endpoints announce their leaving. */
+    void leavingAnnounced(String value) {
+        decisions.leavingAnnounced(value);
+    }
+
     private void recordReceived() {
         Attempt currentAttempt = attempt;
         ReceivedResponse received = currentAttempt == null ? null : currentAttempt.received();
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/RequestDecisionLog.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/RequestDecisionLog.java
@@ -100,6 +100,13 @@
         }
     }
 
+    /** Adds what the response says about the leaving of its endpoint to the attempt that was granted last. */
+    synchronized void leavingAnnounced(String value) {
+        if (!steps.isEmpty()) {
+            steps.get(steps.size() - 1).put("leavingAnnounced", value);
+        }
+    }
+
     /** Adds what was read of the response to the attempt that was granted last. */
     synchronized void received(ReceivedResponse response) {
         if (!steps.isEmpty()) {
@@ -115,7 +122,8 @@
                 .with("pool", exchange.pool().name())
                 .with("rank", exchange.route().rank().text())
                 .with("object", exchange.object())
-                .with("version", context.view().get().tables().number())
+                .with("version", exchange.tablesNumber())
+                .with("tables", exchange.tablesOrigin().fields())
                 .with("outcome", completion.outcome())
                 .with("status", completion.status())
                 .with("ms", TimeUnit.NANOSECONDS.toMillis(completion.nanos()))
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/SteeringHandler.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/SteeringHandler.java
@@ -76,6 +76,9 @@
                     .with("host", host)
                     .with("path", path)
                     .with("version", view.tables().number())
+                    .with(
+                            "tables",
+                            context.tablesOrigin().apply(view.tables().number()).fields())
                     .with("status", problem.status())
                     .write(DecisionLog.Weight.NOTABLE);
             problem.write(response, callback);
@@ -91,7 +94,7 @@
             rejection.write(response, callback);
             return;
         }
-        new Exchange(context, route.get(), pool, request, response, callback).start(stop);
+        new Exchange(context, view.tables().number(), route.get(), pool, request, response, callback).start(stop);
     }
 
     private @Nullable Problem validate(Request request) {
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/table/TableLog.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/table/TableLog.java
@@ -43,6 +43,7 @@
     private final Deque<TableChange> recent = new ArrayDeque<>();
     private final Listener listener;
     private volatile TableVersion current = TableVersion.NONE;
+    private volatile String source = "";
 
     /**
      * Creates a log at version 0.
@@ -58,6 +59,11 @@
         return current;
     }
 
+    /** Returns who delivered the version in force, empty before the first. */
+    public String source() {
+        return source;
+    }
+
     /**
      * Compares an announced version with the one in force.
      *
@@ -100,7 +106,8 @@
             if (change.version() != inForce.number() + 1) {
                 return false;
             }
-            putInForce(new TableVersion(change.version(), change.applyTo(inForce.tables())), change.acceptedAtMs());
+            TableVersion next = new TableVersion(change.version(), change.applyTo(inForce.tables()));
+            putInForce(source, next, change.acceptedAtMs());
             retain(change);
         }
         return true;
@@ -118,7 +125,7 @@
             return;
         }
         recent.clear();
-        putInForce(version, 0);
+        putInForce(source, version, 0);
     }
 
     /** Returns all changes after a version, oldest first; empty if any of them is no longer kept. */
@@ -133,7 +140,8 @@
         return complete ? changes : List.of();
     }
 
-    private void putInForce(TableVersion version, long acceptedAtMs) {
+    private void putInForce(String from, TableVersion version, long acceptedAtMs) {
+        source = from;
         current = version;
         listener.inForce(version, acceptedAtMs);
     }
