Give up reads of the store within the bounds of the deployment

The class: a time-out that is a constant, where the time that it protects is a setting. The wait and the time for an answer now follow from the shortest of the bounds on configurations, on leaving servers and on the time after a disruption: half and a fifth of it. A read after one that got no answer is sent at once, does not wait, and uses a connection that no other call has used. The time for an answer doubles up to 1 s while a store is slow.

--- a/org.cowsliplatch.pgm/src/main/java/org/cowsliplatch/pgm/ServeCommand.java
+++ b/org.cowsliplatch.pgm/src/main/java/org/cowsliplatch/pgm/ServeCommand.java
@@ -1,12 +1,15 @@
 package org.cowsliplatch.pgm;
 
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.ExecutionException;
 import org.cowsliplatch.adapter.RowStoreClient;
 import org.cowsliplatch.adapter.UserFormat;
 import org.cowsliplatch.errors.EntryStartException;
 import org.cowsliplatch.errors.SettingsInvalidException;
 import org.cowsliplatch.internal.entry.DeployedEntry;
+import org.cowsliplatch.internal.follow.ReadTimes;
 import org.cowsliplatch.internal.telemetry.LineWriter;
 import org.cowsliplatch.settings.DeploymentSettings;
 import org.cowsliplatch.settings.SettingsReader;
@@ -17,9 +20,19 @@
 final class ServeCommand extends Subcommand {
     private static final Logger LOG = Logger.getLogger(ServeCommand.class);
 
+    /** Environment variable with assignments as for {@code --set}, separated by blanks. */
+    private static final String ASSIGNMENTS_VARIABLE = "COWSLIPLATCH_SET";
+
     @Option(name = "--settings", metaVar = "FILE", required = true, usage = "settings file")
     private String file = "";
 
+    @Option(
+            name = "--set",
+            metaVar = "SECTION.FIELD=VALUE",
+            usage =
+                    "value, as JSON, that replaces one of the settings file; may be repeated; COWSLIPLATCH_SET holds more")
+    private List<String> assignments = new ArrayList<>();
+
     @Override
     String name() {
         return "serve";
@@ -35,7 +48,8 @@
         DeploymentSettings settings = settings();
         LineWriter lines = LineWriter.start(System.out);
         JsonLogs.install("info", lines::write);
-        try (RowStoreClient store = RowStoreClient.start(settings.store());
+        ReadTimes times = ReadTimes.within(settings.bounds().strictest());
+        try (RowStoreClient store = RowStoreClient.start(settings.store(), times.answerTimeout());
                 DeployedEntry entry = DeployedEntry.start(settings, store, new UserFormat(), lines::write)) {
             Runtime.getRuntime().addShutdownHook(new Thread(() -> entry.drain().join(), "planned-stop"));
             Signals.onHangUp(() -> reload(settings));
@@ -55,12 +69,21 @@
 
     private DeploymentSettings settings() throws CommandException {
         try {
-            return SettingsReader.readDeployment(Path.of(file));
+            return SettingsReader.readDeployment(Path.of(file), allAssignments());
         } catch (SettingsInvalidException e) {
             throw new CommandException(ExitCode.INVALID, e.text(), e);
         }
     }
 
+    /** Returns the assignments of the environment, and then those of the command line, which go before them. */
+    private List<String> allAssignments() {
+        String variable = System.getenv().getOrDefault(ASSIGNMENTS_VARIABLE, "");
+        List<String> all = new ArrayList<>(
+                List.of(variable.isBlank() ? new String[0] : variable.strip().split("\\s+")));
+        all.addAll(assignments);
+        return all;
+    }
+
     /** Reads the settings again; what differs takes effect with the next start, and is told. */
     private void reload(DeploymentSettings inForce) {
         try {
--- a/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/FollowingTest.java
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/FollowingTest.java
@@ -15,6 +15,7 @@
 import org.cowsliplatch.errors.HistoryLostException;
 import org.cowsliplatch.errors.PlatformUnavailableException;
 import org.cowsliplatch.internal.follow.ChangeRelay;
+import org.cowsliplatch.internal.follow.ReadTimes;
 import org.cowsliplatch.internal.follow.StoreTableWatcher;
 import org.cowsliplatch.internal.member.Member;
 import org.cowsliplatch.internal.member.MemberPhase;
@@ -29,6 +30,8 @@
 
 /** Tests for watching tables of the store and for the endpoint registry, on a manual clock. */
 final class FollowingTest {
+    private static final ReadTimes TIMES = ReadTimes.within(Duration.ofMillis(2_500));
+
     private final ManualTicker ticker = new ManualTicker();
     private final EndpointRegistry registry = new EndpointRegistry(Map.of("z", "r"), ticker, DecisionLog.none());
     private final FakeStore store = new FakeStore();
@@ -40,19 +43,13 @@
             .computeIfAbsent(member, key -> new ArrayList<>())
             .add(message));
     private final StoreTableWatcher watcher = new StoreTableWatcher(
-            store,
-            "t",
-            Duration.ZERO,
-            ticker,
-            new SplittableRandom(1),
-            new RecordingListener(),
-            DecisionLog.none(),
-            relay);
+            store, "t", TIMES, ticker, new SplittableRandom(1), new RecordingListener(), DecisionLog.none(), relay);
 
     /** A store with scripted answers; an empty one makes the read fail. */
     private static final class FakeStore implements RowStore {
         final Deque<Optional<Rows>> reads = new ArrayDeque<>();
         final Deque<Optional<Rows>> changes = new ArrayDeque<>();
+        final List<Duration> waits = new ArrayList<>();
         boolean historyLost;
         List<Row> last = List.of();
 
@@ -64,6 +61,7 @@
         @Override
         public Rows follow(String table, long after, Duration wait)
                 throws HistoryLostException, PlatformUnavailableException {
+            waits.add(wait);
             if (historyLost) {
                 historyLost = false;
                 throw new HistoryLostException(table, after);
@@ -253,6 +251,31 @@
         assertThat(events).containsExactly("+a", "+b", "?a", "-b").inOrder();
     }
 
+    @Test
+    void readAfterOneWithoutAnAnswerIsSentAtOnceAndDoesNotWait() throws Exception {
+        store.reads.add(rows(5));
+        store.changes.add(Optional.empty());
+        store.changes.add(rows(5));
+        store.changes.add(rows(5));
+        step(1);
+
+        assertThat(watcher.step()).isEqualTo(0);
+        step(2);
+
+        Duration wait = TIMES.pollWait();
+        assertThat(store.waits).containsExactly(wait, Duration.ZERO, wait).inOrder();
+    }
+
+    @Test
+    void readsOfAStoreThatStaysAwayAreSpaced() throws Exception {
+        store.reads.add(rows(5));
+        store.changes.add(Optional.empty());
+        store.changes.add(Optional.empty());
+        step(2);
+
+        assertThat(watcher.step()).isGreaterThan(0);
+    }
+
     @Test
     void readOfAnOlderVersionIsRejected() {
         store.reads.add(rows(5, row("a", 1)));
--- a/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/RestoredStoreFollowingTest.java
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/RestoredStoreFollowingTest.java
@@ -13,6 +13,7 @@
 import org.cowsliplatch.errors.HistoryLostException;
 import org.cowsliplatch.errors.PlatformUnavailableException;
 import org.cowsliplatch.internal.follow.ChangeRelay;
+import org.cowsliplatch.internal.follow.ReadTimes;
 import org.cowsliplatch.internal.follow.RestoredRows;
 import org.cowsliplatch.internal.follow.StoreTableWatcher;
 import org.cowsliplatch.internal.member.Member;
@@ -32,7 +33,7 @@
     private final StoreTableWatcher watcher = new StoreTableWatcher(
             store,
             "t",
-            Duration.ZERO,
+            ReadTimes.within(Duration.ofMillis(2_500)),
             ticker,
             new SplittableRandom(1),
             new RecordingListener(),
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/StoreFollower.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/StoreFollower.java
@@ -1,7 +1,6 @@
 package org.cowsliplatch.internal.entry;
 
 import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -18,6 +17,7 @@
 import org.cowsliplatch.errors.TablesUnavailableException;
 import org.cowsliplatch.errors.WriteOutcomeUnknownException;
 import org.cowsliplatch.internal.follow.ChangeRelay;
+import org.cowsliplatch.internal.follow.ReadTimes;
 import org.cowsliplatch.internal.follow.RestoredRows;
 import org.cowsliplatch.internal.follow.StoreTableWatcher;
 import org.cowsliplatch.internal.steer.EndpointPublisher;
@@ -38,8 +38,6 @@
 final class StoreFollower implements AutoCloseable {
     /** Table of the entry instances' peer addresses, by name of the instance. */
     private static final String ENTRY_TABLE = "entries";
-    /** Longest time that a read waits for a change; a connection that has gone silent is detected soon after it. */
-    private static final Duration MAX_READ_WAIT = Duration.ofSeconds(4);
     /** Interval between reads of the list of entry instances while peers are known, which exchange all else directly. */
     private static final long LIST_INTERVAL_MS = 15_000;
     /** The same while no peer is known, and after a read that failed. */
@@ -111,17 +109,11 @@
         this.publisher = new EndpointPublisher(endpointRegistry, views);
         this.ticker = ticker;
         this.operatorRows = new OperatorRows();
+        ReadTimes times = ReadTimes.within(settings.bounds().strictest());
         this.operatorWatcher = new StoreTableWatcher(
-                store, format.operatorTable(), MAX_READ_WAIT, ticker, random.split(), operatorRows, decisions, relay);
+                store, format.operatorTable(), times, ticker, random.split(), operatorRows, decisions, relay);
         this.endpointWatcher = new StoreTableWatcher(
-                store,
-                format.endpointTable(),
-                MAX_READ_WAIT,
-                ticker,
-                random.split(),
-                new EndpointRows(),
-                decisions,
-                relay);
+                store, format.endpointTable(), times, ticker, random.split(), new EndpointRows(), decisions, relay);
     }
 
     void start() {
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/follow/StoreTableWatcher.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/follow/StoreTableWatcher.java
@@ -64,7 +64,7 @@
 
     private final RowStore store;
     private final String table;
-    private final Duration wait;
+    private final ReadTimes times;
     private final Ticker ticker;
     private final Listener listener;
     private final DecisionLog decisions;
@@ -88,7 +88,7 @@
      *
      * @param store store that has the table
      * @param table name of the table
-     * @param wait longest wait for a change in one read of the store
+     * @param times how long reads may take
      * @param ticker clock
      * @param random source of jitter
      * @param listener receives the rows
@@ -98,7 +98,7 @@
     public StoreTableWatcher(
             RowStore store,
             String table,
-            Duration wait,
+            ReadTimes times,
             Ticker ticker,
             RandomGenerator random,
             Listener listener,
@@ -106,7 +106,7 @@
             ChangeRelay relay) {
         this.store = store;
         this.table = table;
-        this.wait = wait;
+        this.times = times;
         this.ticker = ticker;
         this.listener = listener;
         this.decisions = decisions;
@@ -155,8 +155,10 @@
                     .write(DecisionLog.Weight.NOTABLE);
             return 0;
         } catch (PlatformUnavailableException e) {
+            boolean isFirst = !storeUnavailable;
             storeLost(e);
-            return delay.nextMs();
+            // The connection may be all that has failed.
+            return isFirst ? 0 : delay.nextMs();
         }
     }
 
@@ -187,7 +189,7 @@
     /** Reads and applies the changes since the last read; returns whether there were any. */
     private boolean readChanges() throws HistoryLostException, PlatformUnavailableException {
         StorePosition known = position;
-        RowStore.Rows changes = store.follow(table, known.version(), relay.isRelayed(table) ? Duration.ZERO : wait);
+        RowStore.Rows changes = store.follow(table, known.version(), readWait());
         storeAnswered(DIRECTLY);
         if (known.isRestoredIn(changes.era()) || known.resolve(changes.era()) < known.era()) {
             // The versions are of another life of the store, so changes may be missing between the known one and these.
@@ -200,6 +202,11 @@
         return !changes.rows().isEmpty();
     }
 
+    /** Returns how long to wait for a change; not at all to find out whether the store has returned. */
+    private Duration readWait() {
+        return storeUnavailable || relay.isRelayed(table) ? Duration.ZERO : times.pollWait();
+    }
+
     /** Reads the whole table; returns false, as the next read need not be delayed to batch changes. */
     private boolean readAll() throws PlatformUnavailableException {
         RowStore.Rows rows = store.read(table);
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/platform/PlatformHttpClient.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/platform/PlatformHttpClient.java
@@ -89,7 +89,24 @@
      */
     public ContentResponse read(String path, Map<String, String> params, Duration requestTimeout)
             throws PlatformUnavailableException {
-        Request request = request("GET", path).timeout(requestTimeout.toMillis(), TimeUnit.MILLISECONDS);
+        return read(request("GET", path), path, params, requestTimeout);
+    }
+
+    /**
+     * Sends a GET request on a connection that is only used for requests of the same purpose; a failure has no side effect.
+     *
+     * @param purpose purpose of the request
+     * @param requestTimeout time-out of the request
+     * @throws PlatformUnavailableException if there was no response, or one with status 500 or above
+     */
+    public ContentResponse readApart(String purpose, String path, Map<String, String> params, Duration requestTimeout)
+            throws PlatformUnavailableException {
+        return read(request("GET", path).tag(purpose), path, params, requestTimeout);
+    }
+
+    private ContentResponse read(Request newRequest, String path, Map<String, String> params, Duration requestTimeout)
+            throws PlatformUnavailableException {
+        Request request = newRequest.timeout(requestTimeout.toMillis(), TimeUnit.MILLISECONDS);
         params.forEach(request::param);
         try {
             ContentResponse response = exchange(request, path);
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/settings/DeploymentCheck.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/settings/DeploymentCheck.java
@@ -7,6 +7,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import org.cowsliplatch.errors.SettingsInvalidException;
 import org.cowsliplatch.settings.DeploymentSettings;
@@ -19,6 +20,14 @@
     /** Default of the minimum number of entry instances that share the slack: as many as the users run today. */
     private static final int MIN_SHARERS = 12;
 
+    /** Default of the bounds on configurations and leaving servers. */
+    private static final double APPLY_S = 2.5;
+
+    private static final double CONTACT_S = 3;
+    private static final double MIN_SECONDS = 0.1;
+    private static final DeploymentSettings.Bounds DEFAULT_BOUNDS =
+            new DeploymentSettings.Bounds(duration(APPLY_S), duration(APPLY_S), duration(CONTACT_S));
+
     private DeploymentCheck() {}
 
     /**
@@ -26,9 +35,11 @@
      *
      * @param text content of the file
      * @param file path for messages
+     * @param assignments values that replace those of the file, such as {@code bounds.leavingSeconds=2.5}
      * @throws SettingsInvalidException if any rule is broken; lists every problem
      */
-    public static DeploymentSettings parse(String text, Path file) throws SettingsInvalidException {
+    public static DeploymentSettings parse(String text, Path file, List<String> assignments)
+            throws SettingsInvalidException {
         JsonNode root;
         try {
             root = JsonNode.Reader.read(text);
@@ -36,6 +47,10 @@
             throw new SettingsInvalidException(List.of(
                     file + ": is not valid JSON with comments: " + e.getMessage() + "; correct the syntax there"));
         }
+        for (String assignment : assignments) {
+            Optional<SettingsOverride> override = SettingsOverride.parse(assignment);
+            root = override.isPresent() ? override.get().applyTo(root) : root;
+        }
         List<SettingsSection.Problem> problems = new ArrayList<>();
         DeploymentSettings settings = settings(new SettingsSection(file.toString(), "", root, problems));
         if (!problems.isEmpty()) {
@@ -71,7 +86,8 @@
                 root.address("store"),
                 seconds(root, "stopSeconds", 6),
                 seconds(root, "lookupTtlSeconds", LOOKUP_TTL_S),
-                repeats(root.section("repeats")));
+                repeats(root.section("repeats")),
+                root.optionalSection("bounds").map(DeploymentCheck::bounds).orElse(DEFAULT_BOUNDS));
         root.reportUnknown();
         return settings;
     }
@@ -84,8 +100,21 @@
         return repeats;
     }
 
+    private static DeploymentSettings.Bounds bounds(SettingsSection section) {
+        DeploymentSettings.Bounds bounds = new DeploymentSettings.Bounds(
+                seconds(section, "configurationSeconds", APPLY_S),
+                seconds(section, "leavingSeconds", APPLY_S),
+                seconds(section, "contactSeconds", CONTACT_S));
+        section.reportUnknown();
+        return bounds;
+    }
+
     private static Duration seconds(SettingsSection section, String name, double defaultValue) {
-        double value = section.fraction(name, 0.1, 600, defaultValue);
-        return Duration.ofNanos((long) (value * 1e9));
+        // A value out of range is reported, and the settings are not used.
+        return duration(Math.max(MIN_SECONDS, section.fraction(name, MIN_SECONDS, 600, defaultValue)));
+    }
+
+    private static Duration duration(double seconds) {
+        return Duration.ofNanos((long) (seconds * 1e9));
     }
 }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/settings/DeploymentSettings.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/settings/DeploymentSettings.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Collections;
+import java.util.List;
 import java.util.SortedMap;
 import java.util.TreeMap;
 
@@ -18,6 +19,7 @@
  * @param grace time from the signal for a planned stop until the process exits
  * @param lookupTtl time for which callers may cache an answer of the directory
  * @param repeats system-wide retry budget
+ * @param bounds times in which confirmed changes must be in force
  */
 public record DeploymentSettings(
         String instance,
@@ -28,7 +30,8 @@
         InetSocketAddress store,
         Duration grace,
         Duration lookupTtl,
-        Repeats repeats) {
+        Repeats repeats,
+        Bounds bounds) {
     /** Makes a defensive copy of the zones. */
     public DeploymentSettings {
         regionOfZone = Collections.unmodifiableSortedMap(new TreeMap<>(regionOfZone));
@@ -43,6 +46,29 @@
      */
     public record Repeats(double perRequest, double slack, int sharers) {}
 
+    /**
+     * Times in which changes that the store has confirmed must be in force.
+     *
+     * @param configuration time for a configuration
+     * @param leaving time after which a leaving backend server gets no new requests
+     * @param contact time after a disruption of its connections from which an entry instance must keep the others
+     */
+    public record Bounds(Duration configuration, Duration leaving, Duration contact) {
+        /** Checks that all times are positive. */
+        public Bounds {
+            for (Duration bound : List.of(configuration, leaving, contact)) {
+                if (bound.isNegative() || bound.isZero()) {
+                    throw new IllegalArgumentException("a bound is " + bound + ", expected a positive time");
+                }
+            }
+        }
+
+        /** Returns the shortest of the times. */
+        public Duration strictest() {
+            return Collections.min(List.of(configuration, leaving, contact));
+        }
+    }
+
     /**
      * Addresses of the listeners.
      *
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/settings/SettingsReader.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/settings/SettingsReader.java
@@ -35,10 +35,12 @@
      * Reads and validates the settings file of an entry instance on a platform with a row store.
      *
      * @param file path of the file
+     * @param assignments values that replace those of the file, such as {@code bounds.leavingSeconds=2.5}
      * @throws SettingsInvalidException if the file can't be read or breaks any rule; lists every problem
      */
-    public static DeploymentSettings readDeployment(Path file) throws SettingsInvalidException {
-        return DeploymentCheck.parse(text(file), file);
+    public static DeploymentSettings readDeployment(Path file, List<String> assignments)
+            throws SettingsInvalidException {
+        return DeploymentCheck.parse(text(file), file, assignments);
     }
 
     /**
