Trust relayed news of the store only within the bounds of the deployment

In a region of five or more instances three read the store for all. The others trusted them for 5.5 s after the last relayed change of a table, also while all three were turned away by the store: they still show signs of life, and nothing tells the others. DrainS and ConfigApplyS are 2.5 to 4 s in the deployments in force, and rows of servers have no second way.

A follower now reads for itself after 0.6 of the shortest bound without news, and a reader does not forward an answer without changes that came late: it would be taken for news of the present.

With the old times three tests of FollowingTest and ReadTimesTest fail.

--- a/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/FollowingTest.java
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/FollowingTest.java
@@ -39,7 +39,7 @@
     /** Forwarded changes by receiver. */
     private final Map<String, List<PeerMessage>> forwarded = new TreeMap<>();
 
-    private final ChangeRelay relay = new ChangeRelay("self", "r", ticker, (member, message) -> forwarded
+    private final ChangeRelay relay = new ChangeRelay("self", "r", ticker, TIMES, (member, message) -> forwarded
             .computeIfAbsent(member, key -> new ArrayList<>())
             .add(message));
     private final StoreTableWatcher watcher = new StoreTableWatcher(
@@ -50,6 +50,7 @@
         final Deque<Optional<Rows>> reads = new ArrayDeque<>();
         final Deque<Optional<Rows>> changes = new ArrayDeque<>();
         final List<Duration> waits = new ArrayList<>();
+        Runnable beforeAnswer = () -> {};
         boolean historyLost;
         List<Row> last = List.of();
 
@@ -66,6 +67,7 @@
                 historyLost = false;
                 throw new HistoryLostException(table, after);
             }
+            beforeAnswer.run();
             Rows next = next(changes);
             last = next.rows();
             return next;
@@ -196,6 +198,36 @@
         assertThat(relay.isRelayed("t")).isFalse();
     }
 
+    @Test
+    void followerReadsTheStoreWithinTheBoundWhenItsReadersAreTurnedAwayByIt() {
+        List<String> readers = joinLargeRegion(false);
+        relayChanges(readers.get(0), 5, 5);
+        readers.forEach(relay::markAlive);
+        ticker.advanceMs(1_000);
+        readers.forEach(relay::markAlive);
+        assertThat(relay.isRelayed("t")).isTrue();
+        ticker.advanceMs(1_000);
+        readers.forEach(relay::markAlive);
+
+        assertThat(relay.isRelayed("t")).isFalse();
+    }
+
+    @Test
+    void answerThatComesLateWithoutChangesIsNotForwarded() {
+        joinLargeRegion(true);
+        store.reads.add(rows(5, row("a", 1)));
+        store.changes.add(rows(5));
+        store.changes.add(rows(5));
+        step(2);
+        assertThat(forwarded.values().iterator().next()).hasSize(1);
+        store.beforeAnswer = () ->
+                ticker.advanceMs(TIMES.pollWait().plus(TIMES.answerTimeout()).toMillis() + 1);
+
+        step(1);
+
+        assertThat(forwarded.values().iterator().next()).hasSize(1);
+    }
+
     @Test
     void readerForwardsChangesToAllFollowers() {
         joinLargeRegion(true);
--- a/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/ReadTimesTest.java
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/ReadTimesTest.java
@@ -22,6 +22,16 @@
         assertThat(lostRead.plus(times.answerTimeout())).isLessThan(bound);
     }
 
+    @ParameterizedTest
+    @ValueSource(longs = {500, 1_000, 2_500, 4_000, 10_000})
+    void followerWhoseReadersFallSilentHasTimeToReadTheStoreItself(long boundMs) {
+        Duration bound = Duration.ofMillis(boundMs);
+        ReadTimes times = ReadTimes.within(bound);
+
+        assertThat(times.relayTimeout()).isGreaterThan(times.pollWait());
+        assertThat(times.relayTimeout().plus(times.answerTimeout())).isLessThan(bound);
+    }
+
     @Test
     void timesMustBePositive() {
         assertThrows(IllegalArgumentException.class, () -> ReadTimes.within(Duration.ZERO));
--- a/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/RestoredStoreFollowingTest.java
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/RestoredStoreFollowingTest.java
@@ -26,19 +26,14 @@
 
 /** Tests what follows the store when it returns from a copy in a new era and its versions go back. */
 final class RestoredStoreFollowingTest {
+    private static final ReadTimes TIMES = ReadTimes.within(Duration.ofMillis(2_500));
+
     private final ManualTicker ticker = new ManualTicker();
     private final ScriptedStore store = new ScriptedStore();
     private final List<String> events = new ArrayList<>();
-    private final ChangeRelay relay = new ChangeRelay("self", "r", ticker, (member, message) -> {});
+    private final ChangeRelay relay = new ChangeRelay("self", "r", ticker, TIMES, (member, message) -> {});
     private final StoreTableWatcher watcher = new StoreTableWatcher(
-            store,
-            "t",
-            ReadTimes.within(Duration.ofMillis(2_500)),
-            ticker,
-            new SplittableRandom(1),
-            new RecordingListener(),
-            DecisionLog.none(),
-            relay);
+            store, "t", TIMES, ticker, new SplittableRandom(1), new RecordingListener(), DecisionLog.none(), relay);
 
     /** A store whose answers are given in advance; records the version that each feed is resumed from. */
     private static final class ScriptedStore implements RowStore {
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/DeployedEntry.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/DeployedEntry.java
@@ -21,6 +21,7 @@
 import java.util.function.Consumer;
 import org.cowsliplatch.errors.EntryStartException;
 import org.cowsliplatch.internal.follow.ChangeRelay;
+import org.cowsliplatch.internal.follow.ReadTimes;
 import org.cowsliplatch.internal.limit.CallerRetryEstimator;
 import org.cowsliplatch.internal.limit.RetryBudgets;
 import org.cowsliplatch.internal.limit.SlotBroker;
@@ -120,7 +121,8 @@
                 random.split(),
                 transport,
                 new EndpointLimitLog(decisions));
-        this.relay = new ChangeRelay(settings.instance(), settings.region(), ticker, transport);
+        ReadTimes readTimes = ReadTimes.within(settings.bounds().strictest());
+        this.relay = new ChangeRelay(settings.instance(), settings.region(), ticker, readTimes, transport);
         this.views = new SteeringViewHolder(this::onView);
         this.log = new TableLog(this::onTables);
         this.store = new StoreFollower(
@@ -132,6 +134,7 @@
                 log,
                 views,
                 decisions,
+                readTimes,
                 relay,
                 Addresses.text(settings.listen().peer()),
                 this::onPeersListed);
@@ -215,6 +218,7 @@
                 .with("caller", Addresses.text(listen.caller()))
                 .with("peer", Addresses.text(listen.peer()))
                 .with("store", Addresses.text(settings.store()))
+                .with("strictestBoundMs", settings.bounds().strictest().toMillis())
                 .write(DecisionLog.Weight.NOTABLE);
     }
 
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/StoreFollower.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/StoreFollower.java
@@ -83,6 +83,7 @@
     /**
      * Creates a follower that is not started.
      *
+     * @param times how long reads may take
      * @param onPeersListed receives the peer addresses of the other entry instances by name, each time they were read
      */
     StoreFollower(
@@ -94,6 +95,7 @@
             TableLog log,
             SteeringViewHolder views,
             DecisionLog decisions,
+            ReadTimes times,
             ChangeRelay relay,
             String ownAddress,
             Consumer<Map<String, String>> onPeersListed) {
@@ -109,7 +111,6 @@
         this.publisher = new EndpointPublisher(endpointRegistry, views);
         this.ticker = ticker;
         this.operatorRows = new OperatorRows();
-        ReadTimes times = ReadTimes.within(settings.bounds().strictest());
         this.operatorWatcher = new StoreTableWatcher(
                 store, format.operatorTable(), times, ticker, random.split(), operatorRows, decisions, relay);
         this.endpointWatcher = new StoreTableWatcher(
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/follow/ChangeRelay.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/follow/ChangeRelay.java
@@ -40,22 +40,15 @@
     private static final int READERS_PER_REGION = 3;
     /** Number of members in a region up to which all are readers; relaying would save little. */
     private static final int MAX_MEMBERS_WITHOUT_RELAY = 4;
-    /**
-     * Time in ns without a message after which a reader is no longer relied on: two heartbeats, which is within the
-     * shortest time limit for reacting to a leaving endpoint.
-     */
-    private static final long READER_TIMEOUT_NANOS = 1_500_000_000L;
-    /**
-     * Time in ns without relayed changes of a table after which the store is read instead: slightly more than a
-     * reader's longest wait for a change.
-     */
-    private static final long RELAY_TIMEOUT_NANOS = 5_500_000_000L;
+    /** Longest time in ns without a message after which a reader is no longer relied on: two heartbeats. */
+    private static final long MAX_READER_TIMEOUT_NANOS = 1_500_000_000L;
     /** Maximum number of queued changes of a table; if there are more, the queue is dropped and the store is read. */
     private static final int INBOX_CAPACITY = 1_024;
 
     private final String self;
     private final String region;
     private final Ticker ticker;
+    private final long relayTimeoutNanos;
     private final PeerSender peers;
     private final Map<String, Long> lastSeenNanos = new ConcurrentHashMap<>();
     private final Map<String, BlockingQueue<Relayed>> inboxes = new ConcurrentHashMap<>();
@@ -69,12 +62,14 @@
      * @param self name of this entry instance
      * @param region region of this entry instance
      * @param ticker clock
+     * @param times how long to wait for news of the store
      * @param peers sends changes to other entry instances
      */
-    public ChangeRelay(String self, String region, Ticker ticker, PeerSender peers) {
+    public ChangeRelay(String self, String region, Ticker ticker, ReadTimes times, PeerSender peers) {
         this.self = self;
         this.region = region;
         this.ticker = ticker;
+        this.relayTimeoutNanos = times.relayTimeout().toNanos();
         this.peers = peers;
     }
 
@@ -125,13 +120,13 @@
         long now = ticker.nanos();
         Long relayed = lastRelayedNanos.get(table);
         return relayed != null
-                && now - relayed < RELAY_TIMEOUT_NANOS
+                && now - relayed < relayTimeoutNanos
                 && current.stream().allMatch(reader -> isAlive(reader, now));
     }
 
     private boolean isAlive(String reader, long now) {
         Long seen = lastSeenNanos.get(reader);
-        return seen != null && now - seen < READER_TIMEOUT_NANOS;
+        return seen != null && now - seen < Math.min(MAX_READER_TIMEOUT_NANOS, relayTimeoutNanos);
     }
 
     /**
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/follow/ReadTimes.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/follow/ReadTimes.java
@@ -1,26 +1,32 @@
 package org.cowsliplatch.internal.follow;
 
 import java.time.Duration;
+import java.util.List;
 
 /**
  * How long reads of the store may take, so that a change is in force in time although the read that would have delivered
  * it gets no answer.
  *
- * <p>The read is given up after {@code pollWait} and {@code answerTimeout}. What is left of the bound is for the next read,
+ * <p>A read that gets no answer is given up after {@code pollWait} and {@code answerTimeout}. What is left of the bound is for the next read,
  * on a new connection, and for applying the change.
  *
  * @param pollWait longest wait for a change in one read
  * @param answerTimeout time after the wait in which an answer is expected
+ * @param relayTimeout time without news of the store from those who read it for others, after which an entry instance
+ *     reads it itself
  */
-public record ReadTimes(Duration pollWait, Duration answerTimeout) {
+public record ReadTimes(Duration pollWait, Duration answerTimeout, Duration relayTimeout) {
     private static final double WAIT_SHARE = 0.5;
     private static final double ANSWER_SHARE = 0.2;
+    /** More than the wait, after which news is relayed also if nothing has changed. */
+    private static final double RELAY_SHARE = 0.6;
 
-    /** Checks that both times are positive. */
+    /** Checks that all times are positive. */
     public ReadTimes {
-        if (pollWait.isNegative() || pollWait.isZero() || answerTimeout.isNegative() || answerTimeout.isZero()) {
-            throw new IllegalArgumentException("pollWait and answerTimeout are " + pollWait + " and " + answerTimeout
-                    + ", expected positive times");
+        for (Duration time : List.of(pollWait, answerTimeout, relayTimeout)) {
+            if (time.isNegative() || time.isZero()) {
+                throw new IllegalArgumentException("a time is " + time + ", expected a positive one");
+            }
         }
     }
 
@@ -30,7 +36,7 @@
      * @param bound time in which a confirmed change must be in force
      */
     public static ReadTimes within(Duration bound) {
-        return new ReadTimes(share(bound, WAIT_SHARE), share(bound, ANSWER_SHARE));
+        return new ReadTimes(share(bound, WAIT_SHARE), share(bound, ANSWER_SHARE), share(bound, RELAY_SHARE));
     }
 
     private static Duration share(Duration bound, double share) {
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/follow/StoreTableWatcher.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/follow/StoreTableWatcher.java
@@ -189,6 +189,7 @@
     /** Reads and applies the changes since the last read; returns whether there were any. */
     private boolean readChanges() throws HistoryLostException, PlatformUnavailableException {
         StorePosition known = position;
+        long startNanos = ticker.nanos();
         RowStore.Rows changes = store.follow(table, known.version(), readWait());
         storeAnswered(DIRECTLY);
         if (known.isRestoredIn(changes.era()) || known.resolve(changes.era()) < known.era()) {
@@ -197,11 +198,19 @@
             return false;
         }
         apply(changes, isInRestoreGrace());
-        relay.forward(new PeerMessage.StoreChanges(
-                table, known.version(), changes.rows(), position.version(), isInRestoreGrace(), position.era()));
+        if (!changes.rows().isEmpty() || !isLate(startNanos)) {
+            relay.forward(new PeerMessage.StoreChanges(
+                    table, known.version(), changes.rows(), position.version(), isInRestoreGrace(), position.era()));
+        }
         return !changes.rows().isEmpty();
     }
 
+    /** Returns whether a read took so long that its answer, or this process, was held up: it tells nothing of the present. */
+    private boolean isLate(long startNanos) {
+        return ticker.nanos() - startNanos
+                > times.pollWait().plus(times.answerTimeout()).toNanos();
+    }
+
     /** Returns how long to wait for a change; not at all to find out whether the store has returned. */
     private Duration readWait() {
         return storeUnavailable || relay.isRelayed(table) ? Duration.ZERO : times.pollWait();
