--- a/org.cowsliplatch.pgm/src/main/java/org/cowsliplatch/pgm/RequestTrail.java
+++ b/org.cowsliplatch.pgm/src/main/java/org/cowsliplatch/pgm/RequestTrail.java
@@ -45,8 +45,7 @@
         requests.add(line);
         requests.sort(Comparator.comparing(LogLine::time));
         for (JsonNode step : line.fields().path("steps")) {
-            // An endpoint's row is named by the part before the mark of its start.
-            endpoints.add(step.path("endpoint").asText().split("~", 2)[0]);
+            endpoints.add(rowOf(step.path("endpoint").asText()));
         }
         endpoints.remove("");
     }
@@ -58,7 +57,8 @@
             if (!earlier || !line.instance().equals(request.instance())) {
                 continue;
             }
-            boolean ofEndpoint = line.event().startsWith("endpoint-") && endpoints.contains(line.text("endpoint"));
+            boolean ofEndpoint =
+                    line.event().startsWith("endpoint-") && endpoints.contains(rowOf(line.text("endpoint")));
             if (ofEndpoint || BELIEFS.contains(line.event())) {
                 String subject = line.text("endpoint") + line.text("peer") + line.text("zone") + line.text("table");
                 beliefs.merge(line.event() + " " + subject, line, RequestTrail::later);
@@ -66,6 +66,11 @@
         }
     }
 
+    /** Returns the name of an endpoint's row, which is the part before the mark of its start. */
+    private static String rowOf(String endpoint) {
+        return endpoint.split("~", 2)[0];
+    }
+
     private static LogLine later(LogLine a, LogLine b) {
         return b.time().isBefore(a.time()) ? a : b;
     }
--- a/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/PeerCodecTest.java
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/PeerCodecTest.java
@@ -50,6 +50,7 @@
                         Optional.of(new PeerMessage.EndpointLimit("e", LimitNotice.ABSENT, 0))),
                 new PeerMessage.LimitsChanged(
                         GROUP, List.of(new PeerMessage.EndpointLimit("e", LimitNotice.named(2.5), 40))),
+                new PeerMessage.EndpointsLeaving(List.of("e~1", "f~2")),
                 new PeerMessage.HoldingsQuery(GROUP),
                 new PeerMessage.Holdings(
                         GROUP, List.of(), List.of(new PeerMessage.EndpointLimit("e", LimitNotice.named(2.5), 40))),
--- a/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/SlotBrokerTest.java
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/SlotBrokerTest.java
@@ -334,6 +334,30 @@
     }
 
     /** A grantor that is disconnected from the store grants an endpoint that the holder knows to be leaving. */
+    @Test
+    void endpointThatAnnouncedItsLeavingIsNotUsedByOthersThroughANewGrantor() {
+        acquire(names.get(0));
+        deliverAll();
+        SlotSource.Lease lease = held.get(0);
+        String leaving = lease.endpoint().id();
+        lease.leavingAnnounced();
+        releaseAll();
+        deliverAll();
+        tickAll(100);
+        SteeringView without = view.with(
+                members(names.stream().filter(name -> !name.equals(grantor())).toList()));
+        names.forEach(entry -> broker(entry).updateView(without));
+        deliverAll();
+        held.clear();
+
+        requestFromAll(2);
+        tickAll(100);
+
+        assertThat(held).isNotEmpty();
+        assertThat(held.stream().map(granted -> granted.endpoint().id()).toList())
+                .doesNotContain(leaving);
+    }
+
     @Test
     void holderRejectsEndpointThatItKnowsToBeLeaving() {
         String grantor = broker(names.get(0)).grantorOf(GROUP).orElseThrow();
--- a/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/Heartbeat.java
+++ b/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/Heartbeat.java
@@ -33,6 +33,8 @@
   }
   private Heartbeat() {
     loads_ = java.util.Collections.emptyList();
+    leavingEndpoints_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -159,6 +161,59 @@
     return changedLimits_ == null ? org.cowsliplatch.wire.EndpointLimits.getDefaultInstance() : changedLimits_;
   }
 
+  public static final int LEAVING_ENDPOINTS_FIELD_NUMBER = 4;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList leavingEndpoints_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <pre>
+   * Endpoints that announced their leaving in responses to the sender; older builds ignore them.
+   * </pre>
+   *
+   * <code>repeated string leaving_endpoints = 4;</code>
+   * @return A list containing the leavingEndpoints.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getLeavingEndpointsList() {
+    return leavingEndpoints_;
+  }
+  /**
+   * <pre>
+   * Endpoints that announced their leaving in responses to the sender; older builds ignore them.
+   * </pre>
+   *
+   * <code>repeated string leaving_endpoints = 4;</code>
+   * @return The count of leavingEndpoints.
+   */
+  public int getLeavingEndpointsCount() {
+    return leavingEndpoints_.size();
+  }
+  /**
+   * <pre>
+   * Endpoints that announced their leaving in responses to the sender; older builds ignore them.
+   * </pre>
+   *
+   * <code>repeated string leaving_endpoints = 4;</code>
+   * @param index The index of the element to return.
+   * @return The leavingEndpoints at the given index.
+   */
+  public java.lang.String getLeavingEndpoints(int index) {
+    return leavingEndpoints_.get(index);
+  }
+  /**
+   * <pre>
+   * Endpoints that announced their leaving in responses to the sender; older builds ignore them.
+   * </pre>
+   *
+   * <code>repeated string leaving_endpoints = 4;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the leavingEndpoints at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getLeavingEndpointsBytes(int index) {
+    return leavingEndpoints_.getByteString(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -182,6 +237,9 @@
     if (((bitField0_ & 0x00000002) != 0)) {
       output.writeMessage(3, getChangedLimits());
     }
+    for (int i = 0; i < leavingEndpoints_.size(); i++) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 4, leavingEndpoints_.getRaw(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -203,6 +261,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(3, getChangedLimits());
     }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < leavingEndpoints_.size(); i++) {
+        dataSize += computeStringSizeNoTag(leavingEndpoints_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getLeavingEndpointsList().size();
+    }
     return size;
   }
   @java.lang.Override
@@ -239,6 +305,8 @@
       if (!getChangedLimits()
           .equals(other.getChangedLimits())) return false;
     }
+    if (!getLeavingEndpointsList()
+        .equals(other.getLeavingEndpointsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -262,6 +330,10 @@
       hash = (37 * hash) + CHANGED_LIMITS_FIELD_NUMBER;
       hash = (53 * hash) + getChangedLimits().hashCode();
     }
+    if (getLeavingEndpointsCount() > 0) {
+      hash = (37 * hash) + LEAVING_ENDPOINTS_FIELD_NUMBER;
+      hash = (53 * hash) + getLeavingEndpointsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -422,6 +494,8 @@
         changedLimitsBuilder_.dispose();
         changedLimitsBuilder_ = null;
       }
+      leavingEndpoints_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
       return this;
     }
 
@@ -481,6 +555,10 @@
             : changedLimitsBuilder_.build();
         to_bitField0_ |= 0x00000002;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        leavingEndpoints_.makeImmutable();
+        result.leavingEndpoints_ = leavingEndpoints_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -528,6 +606,16 @@
       if (other.hasChangedLimits()) {
         mergeChangedLimits(other.getChangedLimits());
       }
+      if (!other.leavingEndpoints_.isEmpty()) {
+        if (leavingEndpoints_.isEmpty()) {
+          leavingEndpoints_ = other.leavingEndpoints_;
+          bitField0_ |= 0x00000008;
+        } else {
+          ensureLeavingEndpointsIsMutable();
+          leavingEndpoints_.addAll(other.leavingEndpoints_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -579,6 +667,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 26
+            case 34: {
+              ensureLeavingEndpointsIsMutable();
+              leavingEndpoints_.add(input.readStringRequireUtf8());
+              break;
+            } // case 34
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1104,6 +1197,153 @@
       return changedLimitsBuilder_;
     }
 
+    private com.google.protobuf.LazyStringArrayList leavingEndpoints_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureLeavingEndpointsIsMutable() {
+      if (!leavingEndpoints_.isModifiable()) {
+        leavingEndpoints_ = new com.google.protobuf.LazyStringArrayList(leavingEndpoints_);
+      }
+      bitField0_ |= 0x00000008;
+    }
+    /**
+     * <pre>
+     * Endpoints that announced their leaving in responses to the sender; older builds ignore them.
+     * </pre>
+     *
+     * <code>repeated string leaving_endpoints = 4;</code>
+     * @return A list containing the leavingEndpoints.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getLeavingEndpointsList() {
+      leavingEndpoints_.makeImmutable();
+      return leavingEndpoints_;
+    }
+    /**
+     * <pre>
+     * Endpoints that announced their leaving in responses to the sender; older builds ignore them.
+     * </pre>
+     *
+     * <code>repeated string leaving_endpoints = 4;</code>
+     * @return The count of leavingEndpoints.
+     */
+    public int getLeavingEndpointsCount() {
+      return leavingEndpoints_.size();
+    }
+    /**
+     * <pre>
+     * Endpoints that announced their leaving in responses to the sender; older builds ignore them.
+     * </pre>
+     *
+     * <code>repeated string leaving_endpoints = 4;</code>
+     * @param index The index of the element to return.
+     * @return The leavingEndpoints at the given index.
+     */
+    public java.lang.String getLeavingEndpoints(int index) {
+      return leavingEndpoints_.get(index);
+    }
+    /**
+     * <pre>
+     * Endpoints that announced their leaving in responses to the sender; older builds ignore them.
+     * </pre>
+     *
+     * <code>repeated string leaving_endpoints = 4;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the leavingEndpoints at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getLeavingEndpointsBytes(int index) {
+      return leavingEndpoints_.getByteString(index);
+    }
+    /**
+     * <pre>
+     * Endpoints that announced their leaving in responses to the sender; older builds ignore them.
+     * </pre>
+     *
+     * <code>repeated string leaving_endpoints = 4;</code>
+     * @param index The index to set the value at.
+     * @param value The leavingEndpoints to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLeavingEndpoints(
+        int index, java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      ensureLeavingEndpointsIsMutable();
+      leavingEndpoints_.set(index, value);
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Endpoints that announced their leaving in responses to the sender; older builds ignore them.
+     * </pre>
+     *
+     * <code>repeated string leaving_endpoints = 4;</code>
+     * @param value The leavingEndpoints to add.
+     * @return This builder for chaining.
+     */
+    public Builder addLeavingEndpoints(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      ensureLeavingEndpointsIsMutable();
+      leavingEndpoints_.add(value);
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Endpoints that announced their leaving in responses to the sender; older builds ignore them.
+     * </pre>
+     *
+     * <code>repeated string leaving_endpoints = 4;</code>
+     * @param values The leavingEndpoints to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllLeavingEndpoints(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureLeavingEndpointsIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, leavingEndpoints_);
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Endpoints that announced their leaving in responses to the sender; older builds ignore them.
+     * </pre>
+     *
+     * <code>repeated string leaving_endpoints = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLeavingEndpoints() {
+      leavingEndpoints_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00000008);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Endpoints that announced their leaving in responses to the sender; older builds ignore them.
+     * </pre>
+     *
+     * <code>repeated string leaving_endpoints = 4;</code>
+     * @param value The bytes of the leavingEndpoints to add.
+     * @return This builder for chaining.
+     */
+    public Builder addLeavingEndpointsBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      ensureLeavingEndpointsIsMutable();
+      leavingEndpoints_.add(value);
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cowsliplatch.peer.Heartbeat)
   }
 
--- a/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/HeartbeatOrBuilder.java
+++ b/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/HeartbeatOrBuilder.java
@@ -75,4 +75,45 @@
    * <code>.cowsliplatch.peer.EndpointLimits changed_limits = 3;</code>
    */
   org.cowsliplatch.wire.EndpointLimitsOrBuilder getChangedLimitsOrBuilder();
+
+  /**
+   * <pre>
+   * Endpoints that announced their leaving in responses to the sender; older builds ignore them.
+   * </pre>
+   *
+   * <code>repeated string leaving_endpoints = 4;</code>
+   * @return A list containing the leavingEndpoints.
+   */
+  java.util.List<java.lang.String>
+      getLeavingEndpointsList();
+  /**
+   * <pre>
+   * Endpoints that announced their leaving in responses to the sender; older builds ignore them.
+   * </pre>
+   *
+   * <code>repeated string leaving_endpoints = 4;</code>
+   * @return The count of leavingEndpoints.
+   */
+  int getLeavingEndpointsCount();
+  /**
+   * <pre>
+   * Endpoints that announced their leaving in responses to the sender; older builds ignore them.
+   * </pre>
+   *
+   * <code>repeated string leaving_endpoints = 4;</code>
+   * @param index The index of the element to return.
+   * @return The leavingEndpoints at the given index.
+   */
+  java.lang.String getLeavingEndpoints(int index);
+  /**
+   * <pre>
+   * Endpoints that announced their leaving in responses to the sender; older builds ignore them.
+   * </pre>
+   *
+   * <code>repeated string leaving_endpoints = 4;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the leavingEndpoints at the given index.
+   */
+  com.google.protobuf.ByteString
+      getLeavingEndpointsBytes(int index);
 }
--- a/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/Peer.java
+++ b/org.cowsliplatch.wire/src/main/java/org/cowsliplatch/wire/Peer.java
@@ -218,69 +218,69 @@
       "\001(\t\022\017\n\007leaving\030\010 \001(\010\022\025\n\rtable_version\030\t " +
       "\001(\003\022\024\n\014table_digest\030\n \001(\t\022\022\n\nkey_prefix\030" +
       "\013 \001(\t\022\027\n\017adopted_domains\030\014 \003(\t\022\023\n\013known_" +
-      "peers\030\r \003(\t\022\017\n\007joining\030\016 \001(\010\"\240\001\n\tHeartbe" +
+      "peers\030\r \003(\t\022\017\n\007joining\030\016 \001(\010\"\273\001\n\tHeartbe" +
       "at\022)\n\006member\030\001 \001(\0132\031.cowsliplatch.peer.M" +
       "ember\022-\n\005loads\030\002 \003(\0132\036.cowsliplatch.peer" +
       ".GroupReport\0229\n\016changed_limits\030\003 \001(\0132!.c" +
-      "owsliplatch.peer.EndpointLimits\"%\n\014Heart" +
-      "beatAck\022\025\n\rmember_wanted\030\001 \001(\010\"%\n\005Group\022" +
-      "\014\n\004pool\030\001 \001(\t\022\016\n\006region\030\002 \001(\t\"\221\001\n\013GroupR" +
-      "eport\022\'\n\005group\030\001 \001(\0132\030.cowsliplatch.peer" +
-      ".Group\022\r\n\005slots\030\002 \001(\005\022\014\n\004free\030\003 \001(\005\022\023\n\013o" +
-      "utstanding\030\004 \001(\005\022\017\n\007waiting\030\005 \001(\005\022\026\n\016cac" +
-      "hed_objects\030\006 \001(\005\"\272\001\n\007SlotAsk\022\'\n\005group\030\001" +
-      " \001(\0132\030.cowsliplatch.peer.Group\022\016\n\006ask_id" +
-      "\030\002 \001(\006\022\014\n\004rank\030\003 \001(\005\022\014\n\004zone\030\004 \001(\t\022\024\n\014wa" +
-      "ited_nanos\030\005 \001(\003\022\022\n\nleft_nanos\030\006 \001(\003\022\r\n\005" +
-      "avoid\030\007 \003(\t\022\021\n\tdue_nanos\030\010 \001(\003\022\016\n\006object" +
-      "\030\t \001(\t\"\034\n\nSlotQueued\022\016\n\006ask_id\030\001 \001(\006\"\036\n\014" +
-      "SlotDeclined\022\016\n\006ask_id\030\001 \001(\006\"E\n\010Endpoint" +
-      "\022\n\n\002id\030\001 \001(\t\022\017\n\007address\030\002 \001(\t\022\016\n\006region\030" +
-      "\003 \001(\t\022\014\n\004zone\030\004 \001(\t\"u\n\013SlotGranted\022\'\n\005gr" +
-      "oup\030\001 \001(\0132\030.cowsliplatch.peer.Group\022\016\n\006a" +
-      "sk_id\030\002 \001(\006\022-\n\010endpoint\030\003 \001(\0132\033.cowslipl" +
-      "atch.peer.Endpoint\"\\\n\013SlotRefused\022\016\n\006ask" +
-      "_id\030\001 \001(\006\022\013\n\003why\030\002 \001(\005\0220\n\nrate_bound\030\003 \001" +
-      "(\0132\034.cowsliplatch.peer.RateBound\"s\n\tRate" +
-      "Bound\022\022\n\nper_second\030\001 \001(\001\022\031\n\021limited_end" +
-      "points\030\002 \001(\005\022\021\n\tage_nanos\030\003 \001(\003\022\r\n\005share" +
-      "\030\004 \001(\001\022\025\n\rroom_in_nanos\030\005 \001(\003\"E\n\nSlotCan" +
-      "cel\022\'\n\005group\030\001 \001(\0132\030.cowsliplatch.peer.G" +
-      "roup\022\016\n\006ask_id\030\002 \001(\006\"\210\001\n\013SlotRelease\022\'\n\005" +
-      "group\030\001 \001(\0132\030.cowsliplatch.peer.Group\022\016\n" +
-      "\006ask_id\030\002 \001(\006\022\017\n\007outcome\030\003 \001(\005\022/\n\005limit\030" +
-      "\004 \001(\0132 .cowsliplatch.peer.EndpointLimit\"" +
-      "Z\n\rEndpointLimit\022\023\n\013endpoint_id\030\001 \001(\t\022\r\n" +
-      "\005named\030\002 \001(\010\022\022\n\nper_second\030\003 \001(\001\022\021\n\tage_" +
-      "nanos\030\004 \001(\003\"k\n\016EndpointLimits\022\'\n\005group\030\001" +
-      " \001(\0132\030.cowsliplatch.peer.Group\0220\n\006limits" +
-      "\030\002 \003(\0132 .cowsliplatch.peer.EndpointLimit" +
-      "\"8\n\rHoldingsQuery\022\'\n\005group\030\001 \001(\0132\030.cowsl" +
-      "iplatch.peer.Group\"<\n\007Holding\022\016\n\006ask_id\030" +
-      "\001 \001(\006\022\023\n\013endpoint_id\030\002 \001(\t\022\014\n\004rank\030\003 \001(\005" +
-      "\"\223\001\n\010Holdings\022\'\n\005group\030\001 \001(\0132\030.cowslipla" +
-      "tch.peer.Group\022,\n\010holdings\030\002 \003(\0132\032.cowsl" +
-      "iplatch.peer.Holding\0220\n\006limits\030\003 \003(\0132 .c" +
-      "owsliplatch.peer.EndpointLimit\"\035\n\014Tables" +
-      "Wanted\022\r\n\005after\030\001 \001(\003\" \n\rTablesChanges\022\017" +
-      "\n\007changes\030\001 \003(\t\"0\n\013TablesWhole\022\017\n\007versio" +
-      "n\030\001 \001(\003\022\020\n\010document\030\002 \001(\t\"\234\001\n\tKeyRecord\022" +
-      "\013\n\003key\030\001 \001(\t\022\023\n\013fingerprint\030\002 \001(\t\022\016\n\006min" +
-      "ute\030\003 \001(\003\022+\n\006answer\030\004 \001(\0132\031.cowsliplatch" +
-      ".peer.AnswerH\000\022\021\n\007not_run\030\005 \001(\tH\000\022\021\n\007unk" +
-      "nown\030\006 \001(\tH\000B\n\n\010recorded\"7\n\006Answer\022\016\n\006st" +
-      "atus\030\001 \001(\005\022\017\n\007headers\030\002 \003(\t\022\014\n\004body\030\003 \001(" +
-      "\014\"~\n\014KeysHandOver\022\016\n\006domain\030\001 \001(\t\022\016\n\006sec" +
-      "ret\030\002 \001(\014\022\021\n\tage_nanos\030\003 \001(\003\022-\n\007records\030" +
-      "\004 \003(\0132\034.cowsliplatch.peer.KeyRecord\022\014\n\004l" +
-      "ast\030\005 \001(\010\"\033\n\tKeysTaken\022\016\n\006domain\030\001 \001(\t\"H" +
-      "\n\010StoreRow\022\013\n\003key\030\001 \001(\t\022\017\n\007version\030\002 \001(\003" +
-      "\022\r\n\005value\030\003 \001(\014\022\017\n\007removed\030\004 \001(\010\"\215\001\n\014Sto" +
-      "reChanges\022\r\n\005table\030\001 \001(\t\022\r\n\005after\030\002 \001(\003\022" +
-      "\017\n\007version\030\003 \001(\003\022)\n\004rows\030\004 \003(\0132\033.cowslip" +
-      "latch.peer.StoreRow\022\026\n\016store_returned\030\005 " +
-      "\001(\010\022\013\n\003era\030\006 \001(\003B\033\n\025org.cowsliplatch.wir" +
-      "eH\001P\001b\006proto3"
+      "owsliplatch.peer.EndpointLimits\022\031\n\021leavi" +
+      "ng_endpoints\030\004 \003(\t\"%\n\014HeartbeatAck\022\025\n\rme" +
+      "mber_wanted\030\001 \001(\010\"%\n\005Group\022\014\n\004pool\030\001 \001(\t" +
+      "\022\016\n\006region\030\002 \001(\t\"\221\001\n\013GroupReport\022\'\n\005grou" +
+      "p\030\001 \001(\0132\030.cowsliplatch.peer.Group\022\r\n\005slo" +
+      "ts\030\002 \001(\005\022\014\n\004free\030\003 \001(\005\022\023\n\013outstanding\030\004 " +
+      "\001(\005\022\017\n\007waiting\030\005 \001(\005\022\026\n\016cached_objects\030\006" +
+      " \001(\005\"\272\001\n\007SlotAsk\022\'\n\005group\030\001 \001(\0132\030.cowsli" +
+      "platch.peer.Group\022\016\n\006ask_id\030\002 \001(\006\022\014\n\004ran" +
+      "k\030\003 \001(\005\022\014\n\004zone\030\004 \001(\t\022\024\n\014waited_nanos\030\005 " +
+      "\001(\003\022\022\n\nleft_nanos\030\006 \001(\003\022\r\n\005avoid\030\007 \003(\t\022\021" +
+      "\n\tdue_nanos\030\010 \001(\003\022\016\n\006object\030\t \001(\t\"\034\n\nSlo" +
+      "tQueued\022\016\n\006ask_id\030\001 \001(\006\"\036\n\014SlotDeclined\022" +
+      "\016\n\006ask_id\030\001 \001(\006\"E\n\010Endpoint\022\n\n\002id\030\001 \001(\t\022" +
+      "\017\n\007address\030\002 \001(\t\022\016\n\006region\030\003 \001(\t\022\014\n\004zone" +
+      "\030\004 \001(\t\"u\n\013SlotGranted\022\'\n\005group\030\001 \001(\0132\030.c" +
+      "owsliplatch.peer.Group\022\016\n\006ask_id\030\002 \001(\006\022-" +
+      "\n\010endpoint\030\003 \001(\0132\033.cowsliplatch.peer.End" +
+      "point\"\\\n\013SlotRefused\022\016\n\006ask_id\030\001 \001(\006\022\013\n\003" +
+      "why\030\002 \001(\005\0220\n\nrate_bound\030\003 \001(\0132\034.cowslipl" +
+      "atch.peer.RateBound\"s\n\tRateBound\022\022\n\nper_" +
+      "second\030\001 \001(\001\022\031\n\021limited_endpoints\030\002 \001(\005\022" +
+      "\021\n\tage_nanos\030\003 \001(\003\022\r\n\005share\030\004 \001(\001\022\025\n\rroo" +
+      "m_in_nanos\030\005 \001(\003\"E\n\nSlotCancel\022\'\n\005group\030" +
+      "\001 \001(\0132\030.cowsliplatch.peer.Group\022\016\n\006ask_i" +
+      "d\030\002 \001(\006\"\210\001\n\013SlotRelease\022\'\n\005group\030\001 \001(\0132\030" +
+      ".cowsliplatch.peer.Group\022\016\n\006ask_id\030\002 \001(\006" +
+      "\022\017\n\007outcome\030\003 \001(\005\022/\n\005limit\030\004 \001(\0132 .cowsl" +
+      "iplatch.peer.EndpointLimit\"Z\n\rEndpointLi" +
+      "mit\022\023\n\013endpoint_id\030\001 \001(\t\022\r\n\005named\030\002 \001(\010\022" +
+      "\022\n\nper_second\030\003 \001(\001\022\021\n\tage_nanos\030\004 \001(\003\"k" +
+      "\n\016EndpointLimits\022\'\n\005group\030\001 \001(\0132\030.cowsli" +
+      "platch.peer.Group\0220\n\006limits\030\002 \003(\0132 .cows" +
+      "liplatch.peer.EndpointLimit\"8\n\rHoldingsQ" +
+      "uery\022\'\n\005group\030\001 \001(\0132\030.cowsliplatch.peer." +
+      "Group\"<\n\007Holding\022\016\n\006ask_id\030\001 \001(\006\022\023\n\013endp" +
+      "oint_id\030\002 \001(\t\022\014\n\004rank\030\003 \001(\005\"\223\001\n\010Holdings" +
+      "\022\'\n\005group\030\001 \001(\0132\030.cowsliplatch.peer.Grou" +
+      "p\022,\n\010holdings\030\002 \003(\0132\032.cowsliplatch.peer." +
+      "Holding\0220\n\006limits\030\003 \003(\0132 .cowsliplatch.p" +
+      "eer.EndpointLimit\"\035\n\014TablesWanted\022\r\n\005aft" +
+      "er\030\001 \001(\003\" \n\rTablesChanges\022\017\n\007changes\030\001 \003" +
+      "(\t\"0\n\013TablesWhole\022\017\n\007version\030\001 \001(\003\022\020\n\010do" +
+      "cument\030\002 \001(\t\"\234\001\n\tKeyRecord\022\013\n\003key\030\001 \001(\t\022" +
+      "\023\n\013fingerprint\030\002 \001(\t\022\016\n\006minute\030\003 \001(\003\022+\n\006" +
+      "answer\030\004 \001(\0132\031.cowsliplatch.peer.AnswerH" +
+      "\000\022\021\n\007not_run\030\005 \001(\tH\000\022\021\n\007unknown\030\006 \001(\tH\000B" +
+      "\n\n\010recorded\"7\n\006Answer\022\016\n\006status\030\001 \001(\005\022\017\n" +
+      "\007headers\030\002 \003(\t\022\014\n\004body\030\003 \001(\014\"~\n\014KeysHand" +
+      "Over\022\016\n\006domain\030\001 \001(\t\022\016\n\006secret\030\002 \001(\014\022\021\n\t" +
+      "age_nanos\030\003 \001(\003\022-\n\007records\030\004 \003(\0132\034.cowsl" +
+      "iplatch.peer.KeyRecord\022\014\n\004last\030\005 \001(\010\"\033\n\t" +
+      "KeysTaken\022\016\n\006domain\030\001 \001(\t\"H\n\010StoreRow\022\013\n" +
+      "\003key\030\001 \001(\t\022\017\n\007version\030\002 \001(\003\022\r\n\005value\030\003 \001" +
+      "(\014\022\017\n\007removed\030\004 \001(\010\"\215\001\n\014StoreChanges\022\r\n\005" +
+      "table\030\001 \001(\t\022\r\n\005after\030\002 \001(\003\022\017\n\007version\030\003 " +
+      "\001(\003\022)\n\004rows\030\004 \003(\0132\033.cowsliplatch.peer.St" +
+      "oreRow\022\026\n\016store_returned\030\005 \001(\010\022\013\n\003era\030\006 " +
+      "\001(\003B\033\n\025org.cowsliplatch.wireH\001P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -309,7 +309,7 @@
     internal_static_cowsliplatch_peer_Heartbeat_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cowsliplatch_peer_Heartbeat_descriptor,
-        new java.lang.String[] { "Member", "Loads", "ChangedLimits", });
+        new java.lang.String[] { "Member", "Loads", "ChangedLimits", "LeavingEndpoints", });
     internal_static_cowsliplatch_peer_HeartbeatAck_descriptor =
       getDescriptor().getMessageType(4);
     internal_static_cowsliplatch_peer_HeartbeatAck_fieldAccessorTable = new
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/DeployedEntry.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/DeployedEntry.java
@@ -39,6 +39,7 @@
 import org.cowsliplatch.internal.proxy.TablesOrigin;
 import org.cowsliplatch.internal.steer.EntryAddressSelector;
 import org.cowsliplatch.internal.steer.Headroom;
+import org.cowsliplatch.internal.steer.LeavingEndpoints;
 import org.cowsliplatch.internal.steer.RegionChooser;
 import org.cowsliplatch.internal.steer.SteeringView;
 import org.cowsliplatch.internal.steer.SteeringViewHolder;
@@ -83,6 +84,7 @@
     private final DecisionLog decisions;
     private final Membership membership;
     private final PeerTransport transport;
+    private final LeavingEndpoints leaving;
     private final SlotBroker broker;
     private final SteeringViewHolder views;
     private final TableLog log;
@@ -114,16 +116,18 @@
         this.membership = new Membership(settings.instance(), ticker);
         this.lifecycle = new MemberLifecycle(ticker);
         this.transport = new PeerTransport(this::self, ticker, this);
+        this.leaving = new LeavingEndpoints(ticker, new EndpointLeavingLog(decisions));
         this.broker = new SlotBroker(
                 settings.instance(),
                 settings.zone(),
                 ticker,
                 random.split(),
                 transport,
-                new EndpointLimitLog(decisions));
+                new EndpointLimitLog(decisions),
+                leaving);
         ReadTimes readTimes = ReadTimes.within(settings.bounds().strictest());
         this.relay = new ChangeRelay(settings.instance(), settings.region(), ticker, readTimes, transport);
-        this.views = new SteeringViewHolder(this::onView);
+        this.views = new SteeringViewHolder(this::onView, leaving);
         this.log = new TableLog(this::onTables);
         this.store = new StoreFollower(
                 settings,
@@ -155,6 +159,10 @@
                 "cowsliplatch_limited_endpoints",
                 "Endpoints that have named a rate limit, as far as known here",
                 broker::limitedEndpoints);
+        metrics.gauge(
+                "cowsliplatch_leaving_endpoints",
+                "Endpoints known to be leaving, also some that are no longer listed",
+                () -> leaving.ids().size());
         metrics.gauge(
                 "cowsliplatch_store_era",
                 "Life of the store, which rises when it returns from a copy",
@@ -255,6 +263,7 @@
                         new CallerRetryEstimator(
                                 () -> ThreadLocalRandom.current().nextDouble())),
                 disconnectMonitor,
+                leaving,
                 decisions);
     }
 
@@ -313,6 +322,7 @@
     }
 
     private void tick() {
+        views.applyLeaving();
         broker.tick();
         joinIfKnown();
         boolean ready = isReady();
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/RunningEntry.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/RunningEntry.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.cowsliplatch.errors.EntryStartException;
 import org.cowsliplatch.internal.admin.AdminHandler;
+import org.cowsliplatch.internal.limit.EndpointLimits;
 import org.cowsliplatch.internal.limit.RetryBudgets;
 import org.cowsliplatch.internal.limit.SlotBroker;
 import org.cowsliplatch.internal.link.LinkLeases;
@@ -43,6 +44,7 @@
 import org.cowsliplatch.internal.steer.EntryLookup;
 import org.cowsliplatch.internal.steer.Headroom;
 import org.cowsliplatch.internal.steer.InstanceFollower;
+import org.cowsliplatch.internal.steer.LeavingEndpoints;
 import org.cowsliplatch.internal.steer.RegionChooser;
 import org.cowsliplatch.internal.steer.SteeringViewHolder;
 import org.cowsliplatch.internal.table.TableEditor;
@@ -99,6 +101,7 @@
     private final InstanceFollower instanceFollower;
     private final SteeringViewHolder views;
     private final Membership membership;
+    private final LeavingEndpoints leaving;
     private final SlotBroker broker;
     private final Headroom headroom;
     private final PeerDuties duties;
@@ -133,8 +136,16 @@
         this.membership = new Membership(settings.instance(), ticker);
         this.lifecycle = new MemberLifecycle(ticker);
         this.transport = new PeerTransport(this::self, ticker, this);
-        this.broker = new SlotBroker(settings.instance(), settings.zone(), ticker, random.split(), transport);
-        this.views = new SteeringViewHolder(broker::updateView);
+        this.leaving = new LeavingEndpoints(ticker, RunningEntry::logLeaving);
+        this.broker = new SlotBroker(
+                settings.instance(),
+                settings.zone(),
+                ticker,
+                random.split(),
+                transport,
+                EndpointLimits.NO_LISTENER,
+                leaving);
+        this.views = new SteeringViewHolder(broker::updateView, leaving);
         this.log = new TableLog(this::onTables);
         TableService tableRows = budgeted(platform.tables(), "tables", WRITES_PER_SECOND);
         this.reader = new TableReader(tableRows, platform.objects());
@@ -256,6 +267,7 @@
                 Headers.DEFAULT_DIALECT,
                 ServingPolicy.DEFAULT,
                 disconnectMonitor,
+                leaving,
                 DecisionLog.none());
     }
 
@@ -344,7 +356,12 @@
         return addresses;
     }
 
+    private static void logLeaving(String endpointId, LeavingEndpoints.Source source, String from) {
+        LOG.infof("endpoint %s is leaving (%s %s)", endpointId, source, from);
+    }
+
     private void tick() {
+        views.applyLeaving();
         broker.tick();
         if (lifecycle.tryJoin()) {
             duties.announce();
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotBroker.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotBroker.java
@@ -22,6 +22,7 @@
 import org.cowsliplatch.internal.peer.PeerSender;
 import org.cowsliplatch.internal.place.CacheSizeEstimator;
 import org.cowsliplatch.internal.steer.EndpointDirectory;
+import org.cowsliplatch.internal.steer.LeavingEndpoints;
 import org.cowsliplatch.internal.steer.SteeringView;
 import org.cowsliplatch.internal.util.Rendezvous;
 import org.cowsliplatch.internal.util.Ticker;
@@ -69,6 +70,7 @@
         volatile @Nullable Endpoint granted;
         volatile long grantedNanos;
         volatile LimitNotice notice = LimitNotice.UNKNOWN;
+        volatile boolean isEndpointLeaving;
 
         LocalRequest(long id, GroupId group, SlotRequest.Requirements requirements, SlotCallback callback) {
             this.id = id;
@@ -106,6 +108,12 @@
             limitSync.noticed(group, endpoint().id(), newNotice, grantedNanos, self);
         }
 
+        @Override
+        public void leavingAnnounced() {
+            isEndpointLeaving = true;
+            leaving.mark(endpoint().id(), LeavingEndpoints.Source.RESPONSE, self);
+        }
+
         @Override
         public void release(SlotOutcome outcome) {
             if (state.compareAndSet(RequestState.GRANTED, RequestState.DONE)) {
@@ -114,7 +122,7 @@
                         grantor,
                         group,
                         id,
-                        outcome,
+                        isEndpointLeaving && !outcome.mayStillRun() ? SlotOutcome.LEAVING : outcome,
                         EndpointLimitSync.report(endpoint().id(), notice));
             }
         }
@@ -149,6 +157,8 @@
     private final EndpointLimits limits;
     private final EndpointLimitSync limitSync;
     private final RateShare rateShare;
+    private final LeavingEndpoints leaving;
+    private final EndpointLeavingSync leavingSync;
     /** Number of objects that an endpoint caches, by pool, as last reported by a grantor. */
     private final Map<String, Integer> cacheSizes = new ConcurrentHashMap<>();
 
@@ -164,7 +174,14 @@
      * @param peers sender of messages to other grantors and holders
      */
     public SlotBroker(String self, String zone, Ticker ticker, RandomGenerator random, PeerSender peers) {
-        this(self, zone, ticker, random, peers, EndpointLimits.NO_LISTENER);
+        this(
+                self,
+                zone,
+                ticker,
+                random,
+                peers,
+                EndpointLimits.NO_LISTENER,
+                new LeavingEndpoints(ticker, LeavingEndpoints.NO_LISTENER));
     }
 
     /**
@@ -176,6 +193,7 @@
      * @param random source of randomness, used under a lock
      * @param peers sender of messages to other grantors and holders
      * @param limitListener receives the changes of rate limits
+     * @param leaving endpoints that are leaving, to which no slot is used
      */
     public SlotBroker(
             String self,
@@ -183,8 +201,11 @@
             Ticker ticker,
             RandomGenerator random,
             PeerSender peers,
-            EndpointLimits.Listener limitListener) {
+            EndpointLimits.Listener limitListener,
+            LeavingEndpoints leaving) {
         this.self = self;
+        this.leaving = leaving;
+        this.leavingSync = new EndpointLeavingSync(ticker, peers, leaving);
         this.limits = new EndpointLimits(ticker, limitListener);
         this.limitSync = new EndpointLimitSync(ticker, peers, limits);
         this.rateShare = new RateShare(ticker);
@@ -271,6 +292,8 @@
             onHoldings(from, holdings);
         } else if (message instanceof PeerMessage.LimitsChanged changed) {
             limitSync.learn(from, changed.limits());
+        } else if (message instanceof PeerMessage.EndpointsLeaving announced) {
+            announced.endpointIds().forEach(id -> leaving.mark(id, LeavingEndpoints.Source.PEER, from));
         }
     }
 
@@ -298,6 +321,7 @@
         suspectSilentGrantors(now);
         refuseExpired(now);
         limitSync.announce(hosted.keySet(), Groups.otherMembers(view, self));
+        leavingSync.announce(Groups.otherMembers(view, self));
     }
 
     /** Returns the share of the endpoints' rate limits that the grantors of this entry instance may use. */
@@ -604,7 +628,7 @@
      */
     private @Nullable SlotOutcome reasonToReject(Endpoint endpoint) {
         EndpointDirectory known = view.endpoints();
-        if (known.isLeavingOrGone(endpoint.id())) {
+        if (leaving.contains(endpoint.id()) || known.isLeavingOrGone(endpoint.id())) {
             return SlotOutcome.LEAVING;
         }
         return known.evacuatedZones().contains(endpoint.zone()) ? SlotOutcome.UNUSED : null;
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotSource.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotSource.java
@@ -30,6 +30,9 @@
         /** Records what the response says about the rate limit of the endpoint; to be called before the release. */
         void limitNoticed(LimitNotice notice);
 
+        /** Records that a response says that the endpoint is leaving; to be called before the release. */
+        void leavingAnnounced();
+
         /** Releases the slot; calls after the first have no effect. */
         void release(SlotOutcome outcome);
     }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/peer/PeerCodec.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/peer/PeerCodec.java
@@ -100,6 +100,8 @@
                             .addAllLimits(m.limits().stream()
                                     .map(PeerCodec::encodeLimit)
                                     .toList())));
+        } else if (message instanceof PeerMessage.EndpointsLeaving m) {
+            frame.setHeartbeat(org.cowsliplatch.wire.Heartbeat.newBuilder().addAllLeavingEndpoints(m.endpointIds()));
         }
     }
 
@@ -149,8 +151,16 @@
                 limit.getAgeNanos());
     }
 
-    private static PeerMessage decodeChangedLimits(org.cowsliplatch.wire.Heartbeat heartbeat)
+    /** Returns whether a heartbeat carries a message beside the sign of life. */
+    static boolean hasMessage(org.cowsliplatch.wire.Heartbeat heartbeat) {
+        return heartbeat.hasChangedLimits() || heartbeat.getLeavingEndpointsCount() > 0;
+    }
+
+    private static PeerMessage decodeHeartbeatMessage(org.cowsliplatch.wire.Heartbeat heartbeat)
             throws MalformedFrameException {
+        if (heartbeat.getLeavingEndpointsCount() > 0) {
+            return new PeerMessage.EndpointsLeaving(heartbeat.getLeavingEndpointsList());
+        }
         if (!heartbeat.hasChangedLimits()) {
             throw new MalformedFrameException("heartbeat without a message", null);
         }
@@ -250,7 +260,7 @@
             case KEYS_HAND_OVER -> decodeHandOver(frame.getKeysHandOver());
             case KEYS_TAKEN -> new PeerMessage.KeysTaken(frame.getKeysTaken().getDomain());
             case STORE_CHANGES -> decodeStoreChanges(frame.getStoreChanges());
-            case HEARTBEAT -> decodeChangedLimits(frame.getHeartbeat());
+            case HEARTBEAT -> decodeHeartbeatMessage(frame.getHeartbeat());
             default -> throw new MalformedFrameException("unexpected frame " + frame.getKindCase(), null);
         };
     }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/peer/PeerMessage.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/peer/PeerMessage.java
@@ -129,6 +129,18 @@
         }
     }
 
+    /**
+     * Endpoints that announced their leaving in responses to the sender.
+     *
+     * @param endpointIds ids of the endpoints
+     */
+    record EndpointsLeaving(List<String> endpointIds) implements PeerMessage {
+        /** Makes a defensive copy of the ids. */
+        public EndpointsLeaving {
+            endpointIds = List.copyOf(endpointIds);
+        }
+    }
+
     /**
      * A new grantor queries which slots of a group the receiver holds.
      *
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/peer/PeerTransport.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/peer/PeerTransport.java
@@ -293,7 +293,7 @@
                 throw new MalformedFrameException("expected Hello as the first frame of the connection", null);
             } else if (frame.hasHeartbeat()) {
                 onHeartbeat(context, frame.getHeartbeat());
-                if (frame.getHeartbeat().hasChangedLimits()) {
+                if (PeerCodec.hasMessage(frame.getHeartbeat())) {
                     listener.messageReceived(peerName, PeerCodec.decode(frame));
                 }
             } else {
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/EndpointAttemptListener.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/EndpointAttemptListener.java
@@ -6,6 +6,7 @@
 import org.cowsliplatch.internal.limit.SlotSource;
 import org.cowsliplatch.internal.telemetry.DecisionLog;
 import org.cowsliplatch.internal.telemetry.Tracing;
+import org.cowsliplatch.platform.HttpDialect;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpStatus;
@@ -47,10 +48,28 @@
     }
 
     private void noticeLeaving(HttpFields headers) {
-        String value = exchange.context().dialect().leaving().map(headers::get).orElse(null);
-        if (value != null) {
-            exchange.leavingAnnounced(value.substring(0, Math.min(value.length(), MAX_LOGGED_CHARACTERS)));
+        HttpDialect.Announcement leaving =
+                exchange.context().dialect().leaving().orElse(null);
+        if (leaving == null) {
+            return;
+        }
+        String value = headers.get(leaving.header());
+        if (value == null) {
+            return;
         }
+        String logged = value.substring(0, Math.min(value.length(), MAX_LOGGED_CHARACTERS));
+        exchange.leavingAnnounced(logged);
+        if (Headers.announcesLeaving(exchange.context().dialect(), headers)) {
+            lease.leavingAnnounced();
+            return;
+        }
+        exchange.context()
+                .decisionLog()
+                .line("endpoint-leaving-unreadable")
+                .with("endpoint", lease.endpoint().id())
+                .with("value", logged)
+                .with("reason", "expected " + leaving.value() + "; the endpoint is not taken for leaving")
+                .write(DecisionLog.Weight.USUAL);
     }
 
     private void noticeLimit(HttpFields headers) {
@@ -87,22 +106,14 @@
 
     @Override
     public void onResponseComplete(HttpFields headers) {
-        lease.release(outcome(headers));
+        lease.release(outcome());
         span.setAttribute("http.response.status_code", (long) status);
         span.end();
         exchange.context().metrics().attempt(exchange.pool().name(), "answered");
         exchange.finishWithResponse(status, headers);
     }
 
-    private SlotOutcome outcome(HttpFields headers) {
-        boolean leaving = exchange.context()
-                .dialect()
-                .leaving()
-                .map(name -> Headers.isYes(headers, name))
-                .orElse(false);
-        if (leaving) {
-            return SlotOutcome.LEAVING;
-        }
+    private SlotOutcome outcome() {
         boolean failed = HttpStatus.isServerError(status)
                 && exchange.context().dialect().identity().isPresent();
         return failed ? SlotOutcome.FAILED : SlotOutcome.ANSWERED;
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/EntryContext.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/EntryContext.java
@@ -11,6 +11,7 @@
 import org.cowsliplatch.internal.link.LinkPacer;
 import org.cowsliplatch.internal.once.KeyLedgerRegistry;
 import org.cowsliplatch.internal.steer.Headroom;
+import org.cowsliplatch.internal.steer.LeavingEndpoints;
 import org.cowsliplatch.internal.steer.RegionChooser;
 import org.cowsliplatch.internal.steer.SteeringView;
 import org.cowsliplatch.internal.telemetry.DecisionLog;
@@ -42,6 +43,7 @@
  * @param dialect names of HTTP headers
  * @param policy deployment-specific serving options
  * @param disconnectMonitor detects callers that close their connections
+ * @param leaving endpoints that are leaving
  * @param decisionLog log of decisions on requests
  */
 public record EntryContext(
@@ -64,4 +66,5 @@
         HttpDialect dialect,
         ServingPolicy policy,
         CallerDisconnectMonitor disconnectMonitor,
+        LeavingEndpoints leaving,
         DecisionLog decisionLog) {}
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Headers.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Headers.java
@@ -25,9 +25,16 @@
     /** Set to {@code yes} on a response that was recorded for an earlier copy of the request. */
     public static final String REPLAYED = "Idempotency-Replayed";
 
+    private static final String YES = "yes";
+
     /** Dialect of the product's own interface, between callers, entry instances and backend servers. */
     public static final HttpDialect DEFAULT_DIALECT = new HttpDialect(
-            TIMEOUT_MS, NOT_RUN, Optional.of(LEAVING), Optional.empty(), Optional.empty(), Optional.empty());
+            TIMEOUT_MS,
+            NOT_RUN,
+            Optional.of(new HttpDialect.Announcement(LEAVING, YES)),
+            Optional.empty(),
+            Optional.empty(),
+            Optional.empty());
 
     private static final Set<String> HOP_BY_HOP = Set.of(
             "connection",
@@ -70,6 +77,13 @@
 
     /** Returns whether a header is set to {@code yes}. */
     public static boolean isYes(HttpFields headers, String name) {
-        return "yes".equals(headers.get(name));
+        return YES.equals(headers.get(name));
+    }
+
+    /** Returns whether any value of a response's headers announces that its backend server is leaving. */
+    static boolean announcesLeaving(HttpDialect dialect, HttpFields headers) {
+        return dialect.leaving()
+                .map(leaving -> headers.getCSV(leaving.header(), false).contains(leaving.value()))
+                .orElse(false);
     }
 }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/RequestDecisionLog.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/RequestDecisionLog.java
@@ -114,7 +114,24 @@
         }
     }
 
+    /** Adds what is known of the leaving of a step's endpoint, and for how long it was known. */
+    private static void addLeaving(EntryContext context, Map<String, Object> step) {
+        if (!(step.get("endpoint") instanceof String endpoint)) {
+            return;
+        }
+        context.leaving()
+                .find(endpoint)
+                .ifPresent(mark -> step.put(
+                        "leaving",
+                        Map.of(
+                                "source",
+                                mark.source().name(),
+                                "ageMs",
+                                TimeUnit.NANOSECONDS.toMillis(context.ticker().nanos() - mark.sinceNanos()))));
+    }
+
     synchronized void write(EntryContext context, Exchange exchange, Completion completion) {
+        steps.forEach(step -> addLeaving(context, step));
         DecisionLog.Line line = context.decisionLog().line("request");
         @Nullable String id = exchange.requestId();
         line.with("request", id == null ? "" : id)
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/ResponseValidator.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/ResponseValidator.java
@@ -28,10 +28,9 @@
      */
     static AttemptFailure.@Nullable Kind validate(
             HttpDialect dialect, @Nullable String requestId, int status, HttpFields headers) {
-        boolean leaving =
-                dialect.leaving().map(name -> Headers.isYes(headers, name)).orElse(false);
         if (dialect.identity().isEmpty()) {
             boolean notRun = Headers.isYes(headers, dialect.notRun());
+            boolean leaving = Headers.announcesLeaving(dialect, headers);
             AttemptFailure.Kind rejection = leaving ? AttemptFailure.Kind.LEAVING : AttemptFailure.Kind.SHED;
             return notRun ? rejection : null;
         }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/steer/EndpointDirectory.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/steer/EndpointDirectory.java
@@ -22,6 +22,9 @@
     private final List<Instance> instances;
     private final Set<String> evacuatedZones;
     private final Set<String> removedIds;
+    /** Ids of endpoints that are leaving, listed or not. */
+    private final Set<String> leavingIds;
+
     private final Set<String> leavingOrGone;
     private final Map<String, Map<String, Integer>> slotsByService = new HashMap<>();
 
@@ -33,11 +36,20 @@
      * @param removedIds ids of endpoints that were listed and no longer are
      */
     public EndpointDirectory(List<Instance> instances, Set<String> evacuatedZones, Set<String> removedIds) {
-        this.instances = List.copyOf(instances);
+        this(instances, evacuatedZones, removedIds, Set.of());
+    }
+
+    private EndpointDirectory(
+            List<Instance> instances, Set<String> evacuatedZones, Set<String> removedIds, Set<String> leavingIds) {
+        this.instances = instances.stream()
+                .map(instance -> leavingIds.contains(instance.id()) ? instance.asLeaving() : instance)
+                .toList();
         this.evacuatedZones = Set.copyOf(evacuatedZones);
         this.removedIds = Set.copyOf(removedIds);
+        this.leavingIds = Set.copyOf(leavingIds);
         Set<String> unavailable = new HashSet<>(removedIds);
-        for (Instance instance : instances) {
+        unavailable.addAll(leavingIds);
+        for (Instance instance : this.instances) {
             if (instance.leaving()) {
                 unavailable.add(instance.id());
             }
@@ -55,6 +67,11 @@
         this(instances, Set.of(), Set.of());
     }
 
+    /** Returns this directory with more endpoints that are leaving, which need not be listed. */
+    EndpointDirectory withLeaving(Set<String> ids) {
+        return leavingIds.equals(ids) ? this : new EndpointDirectory(instances, evacuatedZones, removedIds, ids);
+    }
+
     /** Returns all listed instances except the entry instances. */
     public List<Instance> instances() {
         return instances;
@@ -104,12 +121,13 @@
         return other instanceof EndpointDirectory that
                 && instances.equals(that.instances)
                 && evacuatedZones.equals(that.evacuatedZones)
-                && removedIds.equals(that.removedIds);
+                && removedIds.equals(that.removedIds)
+                && leavingIds.equals(that.leavingIds);
     }
 
     @Override
     public int hashCode() {
-        return Objects.hash(instances, evacuatedZones, removedIds);
+        return Objects.hash(instances, evacuatedZones, removedIds, leavingIds);
     }
 
     private boolean isUsable(Instance instance) {
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/steer/SteeringViewHolder.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/steer/SteeringViewHolder.java
@@ -2,15 +2,21 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
 import org.cowsliplatch.internal.member.Member;
+import org.cowsliplatch.internal.util.Ticker;
+import org.cowsliplatch.platform.Instance;
 import org.cowsliplatch.table.TableVersion;
 
 /** Holds the current {@link SteeringView}; readers do not lock, writers replace the view under a lock. */
 public final class SteeringViewHolder {
     private final Consumer<SteeringView> listener;
+    private final LeavingEndpoints leaving;
+    private long leavingRevision;
     private volatile SteeringView current = SteeringView.empty();
 
     /**
@@ -19,7 +25,18 @@
      * @param listener called with each view that may reassign responsibilities of entry instances, one call at a time
      */
     public SteeringViewHolder(Consumer<SteeringView> listener) {
+        this(listener, new LeavingEndpoints(Ticker.system(), LeavingEndpoints.NO_LISTENER));
+    }
+
+    /**
+     * Creates a holder of an empty view.
+     *
+     * @param listener called with each view that may reassign responsibilities of entry instances, one call at a time
+     * @param leaving endpoints that are leaving, whatever a directory says
+     */
+    public SteeringViewHolder(Consumer<SteeringView> listener, LeavingEndpoints leaving) {
         this.listener = listener;
+        this.leaving = leaving;
     }
 
     /** Returns the current view. */
@@ -38,9 +55,30 @@
     }
 
     /** Replaces the backend servers; an equal directory is ignored. */
-    public void updateEndpoints(EndpointDirectory endpoints) {
-        if (!endpoints.equals(current.endpoints())) {
-            replace(view -> view.with(endpoints));
+    public synchronized void updateEndpoints(EndpointDirectory endpoints) {
+        Set<String> listedIds = new HashSet<>();
+        for (Instance instance : endpoints.instances()) {
+            listedIds.add(instance.id());
+            if (instance.leaving()) {
+                leaving.mark(instance.id(), LeavingEndpoints.Source.LIST, "");
+            }
+        }
+        leaving.limitUnlisted(listedIds);
+        putInView(endpoints);
+    }
+
+    /** Applies marks of leaving endpoints that are not in the view yet. */
+    public synchronized void applyLeaving() {
+        if (leaving.revision() != leavingRevision) {
+            putInView(current.endpoints());
+        }
+    }
+
+    private void putInView(EndpointDirectory endpoints) {
+        leavingRevision = leaving.revision();
+        EndpointDirectory marked = endpoints.withLeaving(leaving.ids());
+        if (!marked.equals(current.endpoints())) {
+            replace(view -> view.with(marked));
         }
     }
 
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/platform/HttpDialect.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/platform/HttpDialect.java
@@ -7,7 +7,8 @@
  *
  * @param timeLeft request header: remaining time limit of the sender in whole ms
  * @param notRun response header: the backend server did not run the request, whatever the status
- * @param leaving response header: the backend server is leaving; empty if there is no such header
+ * @param leaving response header and the value with which the backend server announces that it is leaving; empty if there
+ *     is no such header
  * @param identity headers that tie a response to its request; empty if there are none
  * @param objectCookie request cookie that names the object of the request; empty if there is none
  * @param serverLimit response header: requests per second that the backend server takes from all entry instances
@@ -16,10 +17,18 @@
 public record HttpDialect(
         String timeLeft,
         String notRun,
-        Optional<String> leaving,
+        Optional<Announcement> leaving,
         Optional<Identity> identity,
         Optional<String> objectCookie,
         Optional<String> serverLimit) {
+    /**
+     * A header that announces something by one of its values; other values say nothing.
+     *
+     * @param header name of the header
+     * @param value value that makes the announcement
+     */
+    public record Announcement(String header, String value) {}
+
     /**
      * Headers that tie a response to its request and to the endpoint that ran it.
      *
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/platform/Instance.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/platform/Instance.java
@@ -25,6 +25,11 @@
     /** Value of {@code coldUntilNanos} for instances that are not cold. */
     public static final long WARM = Long.MIN_VALUE;
 
+    /** Returns this instance as leaving. */
+    public Instance asLeaving() {
+        return leaving ? this : new Instance(service, id, address, region, zone, true, slots, coldUntilNanos);
+    }
+
     /** Creates an instance that is not cold and whose number of slots is not listed. */
     public Instance(String service, String id, String address, String region, String zone, boolean leaving) {
         this(service, id, address, region, zone, leaving, 0, WARM);
