Decide the longest request body by the tables that have the route

After the store had returned from a copy with an older configuration, bodies that the newer one allows were refused with 413 (RestoredStoreTest .bodyLimitOfTheCopysConfigurationIsNotInForce failed with 413 before). The newer routes stayed in force, since the log of versions passes over older ones; the limit was set whenever a configuration had been read, older ones too.

The limit is now kept by the number of its configuration, and a request uses that of the tables that decide it, to the end of its body.

The class: a part of a versioned document that is kept beside it without its version. Looked at for the same: route, pool, time limit, attempts, homes and weights are read from one view of the tables; the object of a request and its host do not depend on them.

--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/RunningEntry.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/RunningEntry.java
@@ -263,7 +263,7 @@
                 metrics,
                 tracing,
                 blocking,
-                () -> settings.limits().bodyBytes(),
+                tables -> settings.limits().bodyBytes(),
                 Headers.DEFAULT_DIALECT,
                 ServingPolicy.DEFAULT,
                 disconnectMonitor,
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/StoreFollower.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/StoreFollower.java
@@ -61,6 +61,9 @@
     private final Set<String> reportedRows = new HashSet<>();
     private final Set<String> reportedKinds = ConcurrentHashMap.newKeySet();
     private final Map<Long, String> documents = new ConcurrentHashMap<>();
+    /** Maximum lengths of request bodies by the number of the configuration. */
+    private final Map<Long, Long> bodyBytes = new ConcurrentHashMap<>();
+
     private final List<Thread> threads = new ArrayList<>();
     private final Ticker ticker;
     private final OperatorRows operatorRows;
@@ -71,7 +74,6 @@
     private volatile boolean entriesRead;
     private volatile boolean endpointsRead;
     private volatile boolean operatorsRead;
-    private volatile long bodyBytes = DEFAULT_MAX_BODY_BYTES;
     private volatile boolean closed;
     /** Whether this entry instance has added itself to the list; used by one thread. */
     private boolean listed;
@@ -152,9 +154,9 @@
         return TimeUnit.NANOSECONDS.toMillis(ticker.nanos() - nanos);
     }
 
-    /** Returns the maximum length of a request body in bytes. */
-    long bodyBytes() {
-        return bodyBytes;
+    /** Returns the maximum length of a request body in bytes by the number of the configuration. */
+    long bodyBytes(long number) {
+        return bodyBytes.getOrDefault(number, DEFAULT_MAX_BODY_BYTES);
     }
 
     /** Returns the format of configurations exchanged with peers, which is the text that operators wrote. */
@@ -175,7 +177,7 @@
                 }
                 reportUnknownKinds(configuration);
                 documents.put(number, text);
-                bodyBytes = configuration.bodyBytes();
+                bodyBytes.put(number, configuration.bodyBytes());
                 return configuration.tables();
             }
         };
@@ -350,10 +352,11 @@
             reportUnknownKinds(configuration);
             long number = configuration.tables().number();
             documents.put(number, new String(row.value().orElse(new byte[0]), StandardCharsets.UTF_8));
+            bodyBytes.put(number, configuration.bodyBytes());
             try {
                 log.adopt(operatorWatcher.source(), configuration.tables());
-                bodyBytes = configuration.bodyBytes();
                 documents.keySet().removeIf(known -> known < log.current().number());
+                bodyBytes.keySet().removeIf(known -> known < log.current().number());
             } catch (TableRegressionException e) {
                 decisions
                         .line("configuration-refused")
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/EntryContext.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/EntryContext.java
@@ -4,7 +4,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.LongFunction;
-import java.util.function.LongSupplier;
+import java.util.function.LongUnaryOperator;
 import java.util.function.Supplier;
 import org.cowsliplatch.internal.limit.RetryBudgets;
 import org.cowsliplatch.internal.limit.SlotSource;
@@ -39,7 +39,7 @@
  * @param metrics metrics
  * @param tracing traces
  * @param blockingExecutor runs blocking calls to the platform
- * @param maxBodyBytes maximum length of a request body in bytes
+ * @param maxBodyBytes returns the maximum length of a request body in bytes by the number of the tables
  * @param dialect names of HTTP headers
  * @param policy deployment-specific serving options
  * @param disconnectMonitor detects callers that close their connections
@@ -62,7 +62,7 @@
         Metrics metrics,
         Tracing tracing,
         Executor blockingExecutor,
-        LongSupplier maxBodyBytes,
+        LongUnaryOperator maxBodyBytes,
         HttpDialect dialect,
         ServingPolicy policy,
         CallerDisconnectMonitor disconnectMonitor,
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Exchange.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/Exchange.java
@@ -161,7 +161,7 @@
             bufferBody();
         } else {
             body = new RequestBody.Streamed(
-                    new LimitedSource(request, context.maxBodyBytes().getAsLong()));
+                    new LimitedSource(request, context.maxBodyBytes().applyAsLong(tablesNumber)));
             idempotency.start();
         }
     }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/SteeringHandler.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/SteeringHandler.java
@@ -89,7 +89,7 @@
             throw new IllegalStateException("route " + route.get().name()
                     + " refers to a pool that is missing from the same version of the tables");
         }
-        Problem rejection = validate(request);
+        Problem rejection = validate(request, view.tables().number());
         if (rejection != null) {
             rejection.write(response, callback);
             return;
@@ -97,13 +97,14 @@
         new Exchange(context, view.tables().number(), route.get(), pool, request, response, callback).start(stop);
     }
 
-    private @Nullable Problem validate(Request request) {
+    private @Nullable Problem validate(Request request, long tablesNumber) {
         long length = request.getLength();
-        if (length > context.maxBodyBytes().getAsLong()) {
+        long maxBodyBytes = context.maxBodyBytes().applyAsLong(tablesNumber);
+        if (length > maxBodyBytes) {
             return Problem.of(
                     HttpStatus.PAYLOAD_TOO_LARGE_413,
                     Outcome.NOT_RUN,
-                    "request body too long: at most " + context.maxBodyBytes().getAsLong() + " bytes are accepted");
+                    "request body too long: at most " + maxBodyBytes + " bytes are accepted");
         }
         String name = context.dialect().timeLeft();
         String timeout = request.getHeaders().get(name);
