Request newer tables from one peer at a time

An instance that was behind requested the whole tables from each peer that announced them, and all peers do within a fraction of a second of each change. With n instances each gets up to n copies of a configuration, which may be 64 KiB long, on links that also carry requests; slow machines decode each of them.

TableSync requests a version from the peer that announces it first, and from another one if it has not come within 300 ms, checked with each heartbeat. tablesThatManyPeersAnnounceAreRequestedOnce: 1 request for 50 announcements, 50 before.

--- a/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/TableStoreTest.java
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/TableStoreTest.java
@@ -202,8 +202,14 @@
     void peersExchangeChangesWhileStoreIsUnavailable() throws TableException {
         TableLog other = new TableLog((version, acceptedAtMs) -> {});
         TableSync[] syncs = new TableSync[2];
-        syncs[0] = new TableSync(log, (to, message) -> syncs[1].receive("a", message), TablesFormat.JSON, () -> {});
-        syncs[1] = new TableSync(other, (to, message) -> syncs[0].receive("b", message), TablesFormat.JSON, () -> {});
+        syncs[0] = new TableSync(
+                new ManualTicker(), log, (to, message) -> syncs[1].receive("a", message), TablesFormat.JSON, () -> {});
+        syncs[1] = new TableSync(
+                new ManualTicker(),
+                other,
+                (to, message) -> syncs[0].receive("b", message),
+                TablesFormat.JSON,
+                () -> {});
         editor.apply(edit("1", 0, 1));
         follower.poll();
         editor.apply(edit("2", 1, 2));
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/DeployedEntry.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/DeployedEntry.java
@@ -142,7 +142,8 @@
                 relay,
                 Addresses.text(settings.listen().peer()),
                 this::onPeersListed);
-        this.tableSync = new TableSync(log, transport, store.documents(), () -> metrics.alarm("table-regression"));
+        this.tableSync =
+                new TableSync(ticker, log, transport, store.documents(), () -> metrics.alarm("table-regression"));
         this.headroom = new Headroom(ticker, Headroom.AGGRESSIVE_REQUESTS_PER_FREE_SLOT);
         this.duties = new PeerDuties(this::self, membership, transport, views, broker, headroom, tableSync);
         this.steering = new SteeringHandler(createContext());
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/PeerDuties.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/PeerDuties.java
@@ -61,6 +61,7 @@
         transport.retain(addresses);
         transport.connect(addresses);
         views.updateMembers(membership.peers(), self.get());
+        tables.retry();
         List<PeerMessage.GroupReport> loads = broker.loads();
         recordLoads(loads);
         transport.heartbeat(loads);
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/RunningEntry.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/RunningEntry.java
@@ -151,7 +151,8 @@
         this.reader = new TableReader(tableRows, platform.objects());
         this.editor = new TableEditor(tableRows, platform.objects(), InstantSource.system());
         this.tableFollower = new TableFollower(reader, log, random.split());
-        this.tableSync = new TableSync(log, transport, TablesFormat.JSON, () -> metrics.alarm("table-regression"));
+        this.tableSync =
+                new TableSync(ticker, log, transport, TablesFormat.JSON, () -> metrics.alarm("table-regression"));
         this.instanceFollower =
                 new InstanceFollower(platform.instances(), settings.platform().entryService(), views, random.split());
         this.keys = createKeyLedgers(budgeted(platform.tables(), "keys", KEY_WRITES_PER_SECOND));
