--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/follow/StoreTableWatcher.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/follow/StoreTableWatcher.java
@@ -1,11 +1,8 @@
 package org.cowsliplatch.internal.follow;
 
 import java.time.Duration;
-import java.util.Collection;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -255,7 +252,7 @@
     }
 
     private void apply(RowStore.Rows changes, boolean storeReturned) {
-        for (RowStore.Row row : latest(changes.rows())) {
+        for (RowStore.Row row : changes.rows()) {
             if (row.value().isPresent()) {
                 knownKeys.add(row.key());
                 listener.put(row);
@@ -269,16 +266,6 @@
         listener.batchCompleted();
     }
 
-    /** Returns the rows without those that a later one of the same key supersedes; decoding them delays the later one. */
-    private static Collection<RowStore.Row> latest(List<RowStore.Row> rows) {
-        Map<String, RowStore.Row> byKey = new LinkedHashMap<>();
-        for (RowStore.Row row : rows) {
-            byKey.remove(row.key());
-            byKey.put(row.key(), row);
-        }
-        return byKey.values();
-    }
-
     /** Returns the highest era of the store that an answer has named, or {@link RowStore#UNKNOWN_ERA}. */
     public long era() {
         return position.era();
