Take no outage in which rows expire for a lost read

With a bound above 4 s the outage would have been longer than the shortest in which rows of live servers expire, and their removal would have been applied at once.

--- a/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/ReadTimesTest.java
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/ReadTimesTest.java
@@ -32,6 +32,12 @@
         assertThat(times.relayTimeout().plus(times.answerTimeout())).isLessThan(bound);
     }
 
+    @ParameterizedTest
+    @ValueSource(longs = {500, 1_000, 2_500, 4_000, 10_000})
+    void outageInWhichRowsExpireIsNotTakenForALostRead(long boundMs) {
+        assertThat(ReadTimes.within(Duration.ofMillis(boundMs)).minOutage()).isAtMost(Duration.ofSeconds(3));
+    }
+
     @Test
     void timesMustBePositive() {
         assertThrows(IllegalArgumentException.class, () -> ReadTimes.within(Duration.ZERO));
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/follow/ReadTimes.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/follow/ReadTimes.java
@@ -16,6 +16,9 @@
  *     reads it itself
  */
 public record ReadTimes(Duration pollWait, Duration answerTimeout, Duration relayTimeout) {
+    /** Shortest outage in which rows of live servers expire: three of their heartbeats, the first of which was before it. */
+    private static final Duration MIN_ROW_EXPIRY = Duration.ofSeconds(3);
+
     private static final double WAIT_SHARE = 0.5;
     private static final double ANSWER_SHARE = 0.2;
     /** More than the wait, after which news is relayed also if nothing has changed. */
@@ -43,8 +46,9 @@
      * Returns the time without an answer above which the store itself was away, so that rows may have expired meanwhile. A
      * read that was lost with its connection takes less.
      */
-    Duration minOutage() {
-        return pollWait.plus(answerTimeout).plus(answerTimeout.dividedBy(4));
+    public Duration minOutage() {
+        Duration longerThanLostRead = pollWait.plus(answerTimeout).plus(answerTimeout.dividedBy(4));
+        return longerThanLostRead.compareTo(MIN_ROW_EXPIRY) < 0 ? longerThanLostRead : MIN_ROW_EXPIRY;
     }
 
     private static Duration share(Duration bound, double share) {
