Decide the time-out of answers where the store is followed

The adapter measured how long answers take and adapted the time-out, although the folder that speaks the platform's protocol decides nothing; the command line and the tests derived the times of reads a second time for it. StoreTableWatcher has those times and the clock already. It passes the time-out with each read now, and each table has its own. Callers of RowStoreClient are as they were before.

FollowingTest.readAfterOneThatTimedOutIsGivenMoreTimeUntilAnswersAreQuickAgain is new; it shows that the watcher applies AnswerTimeout.

--- a/org.cowsliplatch.pgm/src/main/java/org/cowsliplatch/pgm/ServeCommand.java
+++ b/org.cowsliplatch.pgm/src/main/java/org/cowsliplatch/pgm/ServeCommand.java
@@ -9,7 +9,6 @@
 import org.cowsliplatch.errors.EntryStartException;
 import org.cowsliplatch.errors.SettingsInvalidException;
 import org.cowsliplatch.internal.entry.DeployedEntry;
-import org.cowsliplatch.internal.follow.ReadTimes;
 import org.cowsliplatch.internal.telemetry.LineWriter;
 import org.cowsliplatch.settings.DeploymentSettings;
 import org.cowsliplatch.settings.SettingsReader;
@@ -48,8 +47,7 @@
         DeploymentSettings settings = settings();
         LineWriter lines = LineWriter.start(System.out);
         JsonLogs.install("info", lines::write);
-        ReadTimes times = ReadTimes.within(settings.bounds().strictest());
-        try (RowStoreClient store = RowStoreClient.start(settings.store(), times.answerTimeout());
+        try (RowStoreClient store = RowStoreClient.start(settings.store());
                 DeployedEntry entry = DeployedEntry.start(settings, store, new UserFormat(), lines::write)) {
             Runtime.getRuntime().addShutdownHook(new Thread(() -> entry.drain().join(), "planned-stop"));
             Signals.onHangUp(() -> reload(settings));
--- a/org.cowsliplatch.test/src/test/java/org/cowsliplatch/adapter/BrokenReplyTest.java
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/adapter/BrokenReplyTest.java
@@ -94,7 +94,7 @@
         respond(HEAD, End.RESET);
         List<TableService.Write> writes = List.of(new TableService.Write("a", 0, "b"));
         try (HttpPlatform platform = platform();
-                RowStoreClient rows = RowStoreClient.start(serverAddress(), Duration.ofSeconds(1))) {
+                RowStoreClient rows = RowStoreClient.start(serverAddress())) {
             assertThrows(
                     WriteOutcomeUnknownException.class,
                     () -> platform.services().tables().write(writes));
@@ -149,7 +149,7 @@
                 "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n");
         for (String head : heads) {
             respond(head + "Content-Length: 2\r\n\r\n{}", End.CLOSE);
-            try (RowStoreClient rows = RowStoreClient.start(serverAddress(), Duration.ofSeconds(1))) {
+            try (RowStoreClient rows = RowStoreClient.start(serverAddress())) {
                 assertThrows(WriteOutcomeUnknownException.class, () -> rows.put("table", "key", new byte[9]));
             }
             checkCallerGetsNoResponse(CompleteResponses.createClient());
--- a/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/FollowingTest.java
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/FollowingTest.java
@@ -50,6 +50,7 @@
         final Deque<Optional<Rows>> reads = new ArrayDeque<>();
         final Deque<Optional<Rows>> changes = new ArrayDeque<>();
         final List<Duration> waits = new ArrayList<>();
+        final List<Duration> answerTimeouts = new ArrayList<>();
         Runnable beforeAnswer = () -> {};
         boolean historyLost;
         List<Row> last = List.of();
@@ -60,9 +61,10 @@
         }
 
         @Override
-        public Rows follow(String table, long after, Duration wait)
+        public Rows follow(String table, long after, Duration wait, Duration answerTimeout)
                 throws HistoryLostException, PlatformUnavailableException {
             waits.add(wait);
+            answerTimeouts.add(answerTimeout);
             if (historyLost) {
                 historyLost = false;
                 throw new HistoryLostException(table, after);
@@ -325,6 +327,25 @@
         assertThat(store.waits).containsExactly(wait, Duration.ZERO, wait).inOrder();
     }
 
+    @Test
+    void readAfterOneThatTimedOutIsGivenMoreTimeUntilAnswersAreQuickAgain() {
+        store.reads.add(rows(5));
+        store.changes.add(Optional.empty());
+        store.changes.add(rows(5));
+        store.changes.add(rows(5));
+        step(1);
+        Duration timeout = TIMES.answerTimeout();
+        store.beforeAnswer =
+                () -> ticker.advanceMs(TIMES.pollWait().plus(timeout).toMillis());
+        step(1);
+        store.beforeAnswer = () -> {};
+        step(2);
+
+        assertThat(store.answerTimeouts)
+                .containsExactly(timeout, timeout.multipliedBy(2), timeout)
+                .inOrder();
+    }
+
     @Test
     void readsOfAStoreThatStaysAwayAreSpaced() throws Exception {
         store.reads.add(rows(5));
--- a/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/RestoredStoreFollowingTest.java
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/RestoredStoreFollowingTest.java
@@ -47,7 +47,7 @@
         }
 
         @Override
-        public Rows follow(String table, long after, Duration wait)
+        public Rows follow(String table, long after, Duration wait, Duration answerTimeout)
                 throws HistoryLostException, PlatformUnavailableException {
             resumedFrom.add(after);
             return next(changes);
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/follow/AnswerTimeout.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/follow/AnswerTimeout.java
@@ -2,9 +2,7 @@
 
 import java.time.Duration;
 
-/**
- * Time-out of answers that adapts to a slow store, which would otherwise never be read. Thread-safe.
- */
+/** Time-out of answers that adapts to a slow store, which would otherwise never be read. Confined to one thread. */
 public final class AnswerTimeout {
     /** Longest time-out to which slow answers raise it. */
     private static final Duration MAX_RAISED = Duration.ofSeconds(1);
@@ -23,17 +21,17 @@
     }
 
     /** Returns the present time-out. */
-    public synchronized Duration current() {
+    public Duration current() {
         return Duration.ofNanos(nanos);
     }
 
     /** Records that no answer arrived in time: the next one gets twice as long. */
-    public synchronized void expired() {
+    public void expired() {
         nanos = Math.min(maxNanos, nanos * 2);
     }
 
     /** Records that an answer took so long. */
-    public synchronized void answeredAfter(Duration time) {
+    public void answeredAfter(Duration time) {
         nanos = Math.max(minNanos, Math.min(maxNanos, time.toNanos() * MARGIN));
     }
 }
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/follow/StoreTableWatcher.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/follow/StoreTableWatcher.java
@@ -65,6 +65,7 @@
     private final RowStore store;
     private final String table;
     private final ReadTimes times;
+    private final AnswerTimeout answerTimeout;
     private final Ticker ticker;
     private final Listener listener;
     private final DecisionLog decisions;
@@ -110,6 +111,7 @@
         this.store = store;
         this.table = table;
         this.times = times;
+        this.answerTimeout = new AnswerTimeout(times.answerTimeout());
         this.ticker = ticker;
         this.listener = listener;
         this.decisions = decisions;
@@ -147,7 +149,7 @@
     private long read() {
         long startNanos = ticker.nanos();
         try {
-            boolean changed = needsFullRead ? readAll() : readChanges();
+            boolean changed = needsFullRead ? readAll() : readChanges(startNanos);
             delay.recordSuccess();
             return changed ? BATCH_MS : 0;
         } catch (HistoryLostException e) {
@@ -191,10 +193,9 @@
     }
 
     /** Reads and applies the changes since the last read; returns whether there were any. */
-    private boolean readChanges() throws HistoryLostException, PlatformUnavailableException {
+    private boolean readChanges(long startNanos) throws HistoryLostException, PlatformUnavailableException {
         StorePosition known = position;
-        long startNanos = ticker.nanos();
-        RowStore.Rows changes = store.follow(table, known.version(), readWait());
+        RowStore.Rows changes = follow(known.version(), startNanos);
         storeAnswered(DIRECTLY);
         if (known.isRestoredIn(changes.era()) || known.resolve(changes.era()) < known.era()) {
             // The versions are of another life of the store, so changes may be missing between the known one and these.
@@ -209,10 +210,33 @@
         return !changes.rows().isEmpty();
     }
 
+    private RowStore.Rows follow(long after, long startNanos)
+            throws HistoryLostException, PlatformUnavailableException {
+        Duration wait = readWait();
+        Duration timeout = answerTimeout.current();
+        try {
+            RowStore.Rows changes = store.follow(table, after, wait, timeout);
+            Duration late = since(startNanos).minus(wait);
+            // An answer before the end of the wait tells of a change, and not how long the store took.
+            if (!late.isNegative()) {
+                answerTimeout.answeredAfter(late);
+            }
+            return changes;
+        } catch (PlatformUnavailableException e) {
+            if (since(startNanos).compareTo(wait.plus(timeout)) >= 0) {
+                answerTimeout.expired();
+            }
+            throw e;
+        }
+    }
+
+    private Duration since(long startNanos) {
+        return Duration.ofNanos(ticker.nanos() - startNanos);
+    }
+
     /** Returns whether a read took so long that its answer, or this process, was held up: it tells nothing of the present. */
     private boolean isLate(long startNanos) {
-        return ticker.nanos() - startNanos
-                > times.pollWait().plus(times.answerTimeout()).toNanos();
+        return since(startNanos).compareTo(times.pollWait().plus(times.answerTimeout())) > 0;
     }
 
     /** Returns how long to wait for a change; not at all to find out whether the store has returned. */
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/platform/PlatformHttpClient.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/platform/PlatformHttpClient.java
@@ -78,18 +78,7 @@
      * @throws PlatformUnavailableException if there was no response, or one with status 500 or above
      */
     public ContentResponse read(String path, Map<String, String> params) throws PlatformUnavailableException {
-        return read(path, params, timeout);
-    }
-
-    /**
-     * Sends a GET request with the given time-out; a failure has no side effect.
-     *
-     * @param requestTimeout time-out of the request
-     * @throws PlatformUnavailableException if there was no response, or one with status 500 or above
-     */
-    public ContentResponse read(String path, Map<String, String> params, Duration requestTimeout)
-            throws PlatformUnavailableException {
-        return read(request("GET", path), path, params, requestTimeout);
+        return read(request("GET", path), path, params);
     }
 
     /**
@@ -101,12 +90,12 @@
      */
     public ContentResponse readApart(String purpose, String path, Map<String, String> params, Duration requestTimeout)
             throws PlatformUnavailableException {
-        return read(request("GET", path).tag(purpose), path, params, requestTimeout);
+        Request request = request("GET", path).tag(purpose).timeout(requestTimeout.toMillis(), TimeUnit.MILLISECONDS);
+        return read(request, path, params);
     }
 
-    private ContentResponse read(Request newRequest, String path, Map<String, String> params, Duration requestTimeout)
+    private ContentResponse read(Request request, String path, Map<String, String> params)
             throws PlatformUnavailableException {
-        Request request = newRequest.timeout(requestTimeout.toMillis(), TimeUnit.MILLISECONDS);
         params.forEach(request::param);
         try {
             ContentResponse response = exchange(request, path);
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/platform/RowStore.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/platform/RowStore.java
@@ -54,10 +54,12 @@
      * @param table name of the table
      * @param after version after which changes are returned
      * @param wait maximum time to wait for a change
+     * @param answerTimeout time after the wait in which an answer is expected
      * @throws HistoryLostException if the changes after that version are no longer retained; read the table instead
      * @throws PlatformUnavailableException if there was no response
      */
-    Rows follow(String table, long after, Duration wait) throws HistoryLostException, PlatformUnavailableException;
+    Rows follow(String table, long after, Duration wait, Duration answerTimeout)
+            throws HistoryLostException, PlatformUnavailableException;
 
     /**
      * Writes a row unconditionally.
