Keep the text and the body limit of a configuration together, and the first of a number

Two maps with the same keys were written and pruned side by side. Both took what was read last: a configuration that is refused because it has the number in force and other content still replaced the body limit in force, and the text that peers are sent. The limit of such a one had not been taken before.

RestoredStoreTest.bodyLimitOfARefusedConfigurationIsNotInForce got 413 before and gets 200 now.

--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/StoreFollower.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/StoreFollower.java
@@ -49,6 +49,16 @@
     /** Maximum length of an unknown kind of request in the log, in characters. */
     private static final int MAX_LOGGED_CHARACTERS = 40;
 
+    /**
+     * What is kept of a configuration beside its tables.
+     *
+     * @param text text that operators wrote
+     * @param bodyBytes maximum length of a request body in bytes
+     */
+    private record Document(String text, long bodyBytes) {
+        static final Document NONE = new Document("", DEFAULT_MAX_BODY_BYTES);
+    }
+
     private final DeploymentSettings settings;
     private final RowStore store;
     private final PlatformFormat format;
@@ -60,9 +70,8 @@
     private final EndpointPublisher publisher;
     private final Set<String> reportedRows = new HashSet<>();
     private final Set<String> reportedKinds = ConcurrentHashMap.newKeySet();
-    private final Map<Long, String> documents = new ConcurrentHashMap<>();
-    /** Maximum lengths of request bodies by the number of the configuration. */
-    private final Map<Long, Long> bodyBytes = new ConcurrentHashMap<>();
+    /** Configurations by number; as with the tables, the first one that has a number stays. */
+    private final Map<Long, Document> documents = new ConcurrentHashMap<>();
 
     private final List<Thread> threads = new ArrayList<>();
     private final Ticker ticker;
@@ -156,7 +165,7 @@
 
     /** Returns the maximum length of a request body in bytes by the number of the configuration. */
     long bodyBytes(long number) {
-        return bodyBytes.getOrDefault(number, DEFAULT_MAX_BODY_BYTES);
+        return documents.getOrDefault(number, Document.NONE).bodyBytes();
     }
 
     /** Returns the format of configurations exchanged with peers, which is the text that operators wrote. */
@@ -164,7 +173,7 @@
         return new TablesFormat() {
             @Override
             public String text(TableVersion version) {
-                return documents.getOrDefault(version.number(), "");
+                return documents.getOrDefault(version.number(), Document.NONE).text();
             }
 
             @Override
@@ -176,8 +185,7 @@
                             "configuration " + number + " from a peer is unreadable or has another version", null);
                 }
                 reportUnknownKinds(configuration);
-                documents.put(number, text);
-                bodyBytes.put(number, configuration.bodyBytes());
+                documents.putIfAbsent(number, new Document(text, configuration.bodyBytes()));
                 return configuration.tables();
             }
         };
@@ -351,12 +359,11 @@
         private void adopt(OperatorRow.Configuration configuration, RowStore.Row row) {
             reportUnknownKinds(configuration);
             long number = configuration.tables().number();
-            documents.put(number, new String(row.value().orElse(new byte[0]), StandardCharsets.UTF_8));
-            bodyBytes.put(number, configuration.bodyBytes());
+            String text = new String(row.value().orElse(new byte[0]), StandardCharsets.UTF_8);
+            documents.putIfAbsent(number, new Document(text, configuration.bodyBytes()));
             try {
                 log.adopt(operatorWatcher.source(), configuration.tables());
                 documents.keySet().removeIf(known -> known < log.current().number());
-                bodyBytes.keySet().removeIf(known -> known < log.current().number());
             } catch (TableRegressionException e) {
                 decisions
                         .line("configuration-refused")
