Tell a leaving endpoint again only when it is due

Each new mark, whatever its source, made an instance send all endpoints that had announced their leaving to it in the last 5 s once more, to all others. When many endpoints leave at once and several instances get their responses, that is a message for each pair of instances and endpoint. Only new announcements are told at once now; the repetitions each second are as before.

SlotBrokerTest.endpointThatAnnouncedItsLeavingIsNotToldAgainBecauseOfAnotherInstancesNews saw 11 messages before, and none now.

--- a/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/SlotBrokerTest.java
+++ b/org.cowsliplatch.test/src/test/java/org/cowsliplatch/test/SlotBrokerTest.java
@@ -334,6 +334,34 @@
     }
 
     /** A grantor that is disconnected from the store grants an endpoint that the holder knows to be leaving. */
+    @Test
+    void endpointThatAnnouncedItsLeavingIsNotToldAgainBecauseOfAnotherInstancesNews() {
+        String teller = names.get(0);
+        acquire(teller);
+        deliverAll();
+        held.get(0).leavingAnnounced();
+        ticker.advanceMs(20);
+        broker(teller).tick();
+        assertThat(leavingToldBy(teller)).isEqualTo(ENTRIES - 1);
+        deliverAll();
+        broker(teller).receive(names.get(1), new PeerMessage.EndpointsLeaving(List.of("other~1")));
+        ticker.advanceMs(20);
+
+        broker(teller).tick();
+
+        assertThat(leavingToldBy(teller)).isEqualTo(0);
+        ticker.advanceMs(1_000);
+        broker(teller).tick();
+        assertThat(leavingToldBy(teller)).isEqualTo(ENTRIES - 1);
+    }
+
+    private long leavingToldBy(String entry) {
+        return bus.stream()
+                .filter(envelope -> envelope.from().equals(entry))
+                .filter(envelope -> envelope.message() instanceof PeerMessage.EndpointsLeaving)
+                .count();
+    }
+
     @Test
     void endpointThatAnnouncedItsLeavingIsNotUsedByOthersThroughANewGrantor() {
         acquire(names.get(0));
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/EndpointLeavingSync.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/EndpointLeavingSync.java
@@ -24,31 +24,40 @@
     private final Ticker ticker;
     private final PeerSender peers;
     private final LeavingEndpoints leaving;
-    private long toldRevision;
-    private long toldNanos;
+    private long seenRevision;
+    private long seenNanos;
+    private long repeatedNanos;
 
     EndpointLeavingSync(Ticker ticker, PeerSender peers, LeavingEndpoints leaving) {
         this.ticker = ticker;
         this.peers = peers;
         this.leaving = leaving;
-        this.toldNanos = ticker.nanos();
+        this.seenNanos = ticker.nanos();
+        this.repeatedNanos = seenNanos;
     }
 
     /** Tells new endpoints at once, and recent ones again from time to time. */
     void announce(Collection<String> receivers) {
-        long now = ticker.nanos();
+        // Read first, so that an endpoint that is marked meanwhile is told next time.
         long revision = leaving.revision();
-        if (revision == toldRevision && now - toldNanos < REPEAT_INTERVAL_NANOS) {
+        long now = ticker.nanos();
+        if (now - repeatedNanos >= REPEAT_INTERVAL_NANOS) {
+            repeatedNanos = now;
+            tell(leaving.announcedSince(now - REPEAT_NANOS, MAX_ENDPOINTS), receivers);
+        } else if (revision != seenRevision) {
+            tell(leaving.announcedSince(seenNanos, MAX_ENDPOINTS), receivers);
+        } else {
             return;
         }
-        toldRevision = revision;
-        toldNanos = now;
-        List<String> ids = leaving.announcedSince(now - REPEAT_NANOS, MAX_ENDPOINTS);
-        if (ids.isEmpty()) {
+        seenRevision = revision;
+        seenNanos = now;
+    }
+
+    private void tell(List<String> endpointIds, Collection<String> receivers) {
+        if (endpointIds.isEmpty()) {
             return;
         }
-        for (String receiver : receivers) {
-            peers.send(receiver, new PeerMessage.EndpointsLeaving(ids));
-        }
+        PeerMessage message = new PeerMessage.EndpointsLeaving(endpointIds);
+        receivers.forEach(receiver -> peers.send(receiver, message));
     }
 }
