Keep the ids of leaving endpoints in one place

EndpointDirectory held a copy of all marks, listed or not, beside LeavingEndpoints. Its one reader, SlotBroker, asks LeavingEndpoints anyway, since the view may be a tick behind. The directory now only shows listed endpoints as leaving, and is not built anew for marks of others. LeavingEndpointsTest, LeavingResponseTest and SlotBrokerTest pass unchanged.

--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotBroker.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/limit/SlotBroker.java
@@ -623,7 +623,8 @@
     }
 
     /**
-     * Returns the outcome with which a granted slot must be rejected, or null if it may be used. A grantor that is
+     * Returns the outcome with which a granted slot must be rejected, or null if it may be used. The view may not have a
+     * mark yet, or no longer list its endpoint. A grantor that is
      * disconnected from the store may not know yet that an endpoint is leaving or that its zone is evacuated.
      */
     private @Nullable SlotOutcome reasonToReject(Endpoint endpoint) {
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/steer/EndpointDirectory.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/steer/EndpointDirectory.java
@@ -22,8 +22,6 @@
     private final List<Instance> instances;
     private final Set<String> evacuatedZones;
     private final Set<String> removedIds;
-    /** Ids of endpoints that are leaving, listed or not. */
-    private final Set<String> leavingIds;
 
     private final Set<String> leavingOrGone;
     private final Map<String, Map<String, Integer>> slotsByService = new HashMap<>();
@@ -36,20 +34,11 @@
      * @param removedIds ids of endpoints that were listed and no longer are
      */
     public EndpointDirectory(List<Instance> instances, Set<String> evacuatedZones, Set<String> removedIds) {
-        this(instances, evacuatedZones, removedIds, Set.of());
-    }
-
-    private EndpointDirectory(
-            List<Instance> instances, Set<String> evacuatedZones, Set<String> removedIds, Set<String> leavingIds) {
-        this.instances = instances.stream()
-                .map(instance -> leavingIds.contains(instance.id()) ? instance.asLeaving() : instance)
-                .toList();
+        this.instances = List.copyOf(instances);
         this.evacuatedZones = Set.copyOf(evacuatedZones);
         this.removedIds = Set.copyOf(removedIds);
-        this.leavingIds = Set.copyOf(leavingIds);
         Set<String> unavailable = new HashSet<>(removedIds);
-        unavailable.addAll(leavingIds);
-        for (Instance instance : this.instances) {
+        for (Instance instance : instances) {
             if (instance.leaving()) {
                 unavailable.add(instance.id());
             }
@@ -67,9 +56,12 @@
         this(instances, Set.of(), Set.of());
     }
 
-    /** Returns this directory with more endpoints that are leaving, which need not be listed. */
+    /** Returns this directory with some of the listed endpoints as leaving. */
     EndpointDirectory withLeaving(Set<String> ids) {
-        return leavingIds.equals(ids) ? this : new EndpointDirectory(instances, evacuatedZones, removedIds, ids);
+        List<Instance> marked = instances.stream()
+                .map(instance -> ids.contains(instance.id()) ? instance.asLeaving() : instance)
+                .toList();
+        return marked.equals(instances) ? this : new EndpointDirectory(marked, evacuatedZones, removedIds);
     }
 
     /** Returns all listed instances except the entry instances. */
@@ -121,13 +113,12 @@
         return other instanceof EndpointDirectory that
                 && instances.equals(that.instances)
                 && evacuatedZones.equals(that.evacuatedZones)
-                && removedIds.equals(that.removedIds)
-                && leavingIds.equals(that.leavingIds);
+                && removedIds.equals(that.removedIds);
     }
 
     @Override
     public int hashCode() {
-        return Objects.hash(instances, evacuatedZones, removedIds, leavingIds);
+        return Objects.hash(instances, evacuatedZones, removedIds);
     }
 
     private boolean isUsable(Instance instance) {
