--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/EndpointAttemptListener.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/proxy/EndpointAttemptListener.java
@@ -48,28 +48,21 @@
     }
 
     private void noticeLeaving(HttpFields headers) {
-        HttpDialect.Announcement leaving =
-                exchange.context().dialect().leaving().orElse(null);
-        if (leaving == null) {
+        HttpDialect dialect = exchange.context().dialect();
+        HttpDialect.Announcement leaving = dialect.leaving().orElse(null);
+        String value = leaving == null ? null : headers.get(leaving.header());
+        if (leaving == null || value == null) {
             return;
         }
-        String value = headers.get(leaving.header());
-        if (value == null) {
-            return;
-        }
-        String logged = value.substring(0, Math.min(value.length(), MAX_LOGGED_CHARACTERS));
-        exchange.leavingAnnounced(logged);
-        if (Headers.announcesLeaving(exchange.context().dialect(), headers)) {
+        exchange.leavingAnnounced(abbreviate(value));
+        if (Headers.announcesLeaving(dialect, headers)) {
             lease.leavingAnnounced();
-            return;
+        } else {
+            logUnreadable(
+                    "endpoint-leaving-unreadable",
+                    value,
+                    "expected " + leaving.value() + "; the endpoint is not taken for leaving");
         }
-        exchange.context()
-                .decisionLog()
-                .line("endpoint-leaving-unreadable")
-                .with("endpoint", lease.endpoint().id())
-                .with("value", logged)
-                .with("reason", "expected " + leaving.value() + "; the endpoint is not taken for leaving")
-                .write(DecisionLog.Weight.USUAL);
     }
 
     private void noticeLimit(HttpFields headers) {
@@ -80,17 +73,26 @@
         String value = headers.get(header);
         LimitNotice notice = LimitNotice.parse(value);
         if (value != null && notice.kind() == LimitNotice.Kind.UNKNOWN) {
-            exchange.context()
-                    .decisionLog()
-                    .line("endpoint-limit-unreadable")
-                    .with("endpoint", lease.endpoint().id())
-                    .with("value", value.substring(0, Math.min(value.length(), MAX_LOGGED_CHARACTERS)))
-                    .with("reason", "expected a decimal number of requests per second, 0 or more")
-                    .write(DecisionLog.Weight.USUAL);
+            logUnreadable(
+                    "endpoint-limit-unreadable", value, "expected a decimal number of requests per second, 0 or more");
         }
         lease.limitNoticed(notice);
     }
 
+    private void logUnreadable(String event, String value, String reason) {
+        exchange.context()
+                .decisionLog()
+                .line(event)
+                .with("endpoint", lease.endpoint().id())
+                .with("value", abbreviate(value))
+                .with("reason", reason)
+                .write(DecisionLog.Weight.USUAL);
+    }
+
+    private static String abbreviate(String value) {
+        return value.substring(0, Math.min(value.length(), MAX_LOGGED_CHARACTERS));
+    }
+
     private boolean retriesErrorResponse(int responseStatus) {
         return HttpStatus.isServerError(responseStatus)
                 && exchange.route().idempotent()
