Derive the best offer of tables and the metrics of marks and silence directly

A comparator replaces the loop that chose the offer, the number of marks needs no copy of their ids, and the time since the store was heard is kept in ns, as the other metrics are, so that a constant goes.

--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/DeployedEntry.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/DeployedEntry.java
@@ -72,7 +72,6 @@
     private static final Duration CALLER_DELAY = Duration.ofMillis(40);
 
     private static final double NANOS_PER_SECOND = 1e9;
-    private static final double MILLIS_PER_SECOND = 1e3;
 
     private final DeploymentSettings settings;
     private final PlatformFormat format;
@@ -163,7 +162,7 @@
         metrics.gauge(
                 "cowsliplatch_leaving_endpoints",
                 "Endpoints known to be leaving, also some that are no longer listed",
-                () -> leaving.ids().size());
+                leaving::size);
         metrics.gauge(
                 "cowsliplatch_store_era",
                 "Life of the store, which rises when it returns from a copy",
@@ -175,7 +174,7 @@
         metrics.gauge(
                 "cowsliplatch_store_heard_seconds",
                 "Time since the store was last heard, also through a peer",
-                () -> store.heardMs() / MILLIS_PER_SECOND);
+                () -> store.silentNanos() / NANOS_PER_SECOND);
         metrics.gauge("cowsliplatch_ready", "1 if requests are served", () -> isReady() ? 1 : 0);
         metrics.gauge(
                 "cowsliplatch_peer_sent_bytes", "Bytes of frames sent to peers since the start", transport::sentBytes);
@@ -269,7 +268,7 @@
     }
 
     private TablesOrigin tablesOrigin(long version) {
-        long heardMs = store.heardMs();
+        long heardMs = TimeUnit.NANOSECONDS.toMillis(store.silentNanos());
         return version == log.current().number()
                 ? new TablesOrigin(
                         log.source(), TimeUnit.NANOSECONDS.toMillis(ticker.nanos() - tablesSinceNanos), heardMs)
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/StoreFollower.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/entry/StoreFollower.java
@@ -157,10 +157,9 @@
         return Math.max(operatorWatcher.era(), endpointWatcher.era());
     }
 
-    /** Returns the time in ms since the store was last heard about each of the tables, also through a peer. */
-    long heardMs() {
-        long nanos = Math.min(operatorWatcher.heardNanos(), endpointWatcher.heardNanos());
-        return TimeUnit.NANOSECONDS.toMillis(ticker.nanos() - nanos);
+    /** Returns the time in ns since the store was last heard about each of the tables, also through a peer. */
+    long silentNanos() {
+        return ticker.nanos() - Math.min(operatorWatcher.heardNanos(), endpointWatcher.heardNanos());
     }
 
     /** Returns the maximum length of a request body in bytes by the number of the configuration. */
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/steer/LeavingEndpoints.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/steer/LeavingEndpoints.java
@@ -94,6 +94,11 @@
         return Optional.ofNullable(marks.get(endpointId));
     }
 
+    /** Returns the number of marked endpoints. */
+    public synchronized int size() {
+        return marks.size();
+    }
+
     /** Returns the ids of all marked endpoints. */
     public synchronized Set<String> ids() {
         return Set.copyOf(marks.keySet());
--- a/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/table/TableSync.java
+++ b/org.cowsliplatch/src/main/java/org/cowsliplatch/internal/table/TableSync.java
@@ -1,10 +1,11 @@
 package org.cowsliplatch.internal.table;
 
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import org.cowsliplatch.errors.TableException;
 import org.cowsliplatch.errors.TableRegressionException;
 import org.cowsliplatch.internal.member.Member;
@@ -101,24 +102,17 @@
             if (offers.isEmpty() || ticker.nanos() - requestedNanos < ANSWER_TIMEOUT_NANOS) {
                 return;
             }
-            offer = latestOffer();
+            offer = bestOffer();
             take(offer);
         }
         request(offer);
     }
 
-    /** Returns the offer of the highest version, preferably one that was not taken before. */
-    private Offer latestOffer() {
-        Offer best = null;
-        for (Offer offer : offers.values()) {
-            boolean isRequested = offer.equals(requested);
-            if (best == null
-                    || offer.version() > best.version()
-                    || (offer.version() == best.version() && !isRequested)) {
-                best = offer;
-            }
-        }
-        return Objects.requireNonNull(best);
+    /** Returns the offer of the highest version, preferably one that was not taken last. */
+    private Offer bestOffer() {
+        return Collections.max(
+                offers.values(),
+                Comparator.comparingLong(Offer::version).thenComparing(offer -> !offer.equals(requested)));
     }
 
     private void take(Offer offer) {
