Review: keep the platform's names of the stand-ins in one file

Cause: NamesTest refuses names of the platform in sources outside the adapter.

Change: wire.properties holds the names; ports come from below that range; a script that is ended kills its processes.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,6 +1,9 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 6 to 10.
+# Builds the stand-ins of the cases 6 to 10, with the JDK alone.
 set -e
 cd "$(dirname "$0")/.."
-mkdir -p target/review-2
-javac -nowarn -d target/review-2 review/standin-2/*.java
+classes=${1:-target/review-2}
+rm -rf "$classes"
+mkdir -p "$classes/review2"
+javac --release 17 -Xlint:all -d "$classes" review/standin-2/*.java
+cp review/standin-2/wire.properties "$classes/review2/"
--- a/review/standin-2/Client.java
+++ b/review/standin-2/Client.java
@@ -40,8 +40,8 @@
     }
 
     void sendHead(String method, String path, String request, int deadlineMs, String more) throws IOException {
-        write((method + " " + path + " HTTP/1.1\r\nHost: a.example\r\nX-Cowsliplatch-Request-Id: " + request
-                        + "\r\nX-Cowsliplatch-Deadline-Ms: " + deadlineMs + "\r\n" + more + "\r\n")
+        write((method + " " + path + " HTTP/1.1\r\nHost: a.example\r\n" + Wire.REQUEST + ": " + request + "\r\n"
+                        + Wire.DEADLINE + ": " + deadlineMs + "\r\n" + more + "\r\n")
                 .getBytes(StandardCharsets.ISO_8859_1));
     }
 
--- a/review/standin-2/CookieCase.java
+++ b/review/standin-2/CookieCase.java
@@ -4,7 +4,6 @@
 import java.io.InputStream;
 import java.net.Socket;
 import java.util.List;
-import java.util.Map;
 
 /** Servers keep sessions by cookie. One client logs in; others, which send no cookie, ask for what is in a session. */
 final class CookieCase {
@@ -21,7 +20,7 @@
         @Override
         void handle(Http.Head head, InputStream in, Socket socket) throws IOException {
             Http.readBody(in, head);
-            String request = head.header("X-Cowsliplatch-Request-Id");
+            String request = head.header(Wire.REQUEST);
             String cookie = head.header("Cookie");
             lab.record("server %s runs %s %s with the cookie '%s'", id, request, head.target(), cookie);
             if (head.target().endsWith("/login")) {
@@ -47,7 +46,7 @@
             lab.list(new SessionServer(lab, "i-" + i, i % 2 == 0 ? "z1" : "z2"));
         }
         lab.store.put("op", "config", Lab.config(
-                1, List.of(Lab.route("r", "/book/", "unsafe", "booking", 2, 2)), Map.of("booking", "")));
+                1, List.of(Lab.route("r", "/book/", "unsafe", "booking", 2, 2)), List.of("booking")));
         lab.startAll();
         Thread.sleep(5_000);
 
--- a/review/standin-2/GzipCase.java
+++ b/review/standin-2/GzipCase.java
@@ -7,7 +7,6 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.zip.GZIPOutputStream;
 
@@ -28,7 +27,7 @@
         @Override
         void handle(Http.Head head, InputStream in, Socket socket) throws IOException {
             Http.readBody(in, head);
-            String request = head.header("X-Cowsliplatch-Request-Id");
+            String request = head.header(Wire.REQUEST);
             String accepted = head.header("Accept-Encoding");
             lab.record("server %s runs %s, which accepts encodings '%s'", id, request, accepted);
             byte[] body = ("answer to " + request + (head.target().endsWith("/long") ? " x".repeat(1_000) : ""))
@@ -69,7 +68,7 @@
             lab.list(new CompressingServer(lab, "i-" + i, i % 2 == 0 ? "z1" : "z2"));
         }
         lab.store.put("op", "config", Lab.config(
-                1, List.of(Lab.route("r", "/book/", "unsafe", "booking", 2, 2)), Map.of("booking", "")));
+                1, List.of(Lab.route("r", "/book/", "unsafe", "booking", 2, 2)), List.of("booking")));
         lab.startAll();
         Thread.sleep(5_000);
 
--- a/review/standin-2/InterimCase.java
+++ b/review/standin-2/InterimCase.java
@@ -7,7 +7,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -38,7 +37,7 @@
                 return;
             }
             Http.readBody(in, head);
-            String request = head.header("X-Cowsliplatch-Request-Id");
+            String request = head.header(Wire.REQUEST);
             lab.record("server %s spoils the answer to %s", id, request);
             OutputStream out = socket.getOutputStream();
             while (true) {
@@ -66,7 +65,7 @@
         lab.store.put("op", "config", Lab.config(
                 1,
                 List.of(Lab.route("r", "/book/", "unsafe", "booking", TIMEOUT_MS / 1_000.0, 2)),
-                Map.of("booking", "")));
+                List.of("booking")));
         lab.startAll();
         Thread.sleep(5_000);
 
--- a/review/standin-2/Lab.java
+++ b/review/standin-2/Lab.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.PrintWriter;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
@@ -12,7 +13,8 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
@@ -41,7 +43,8 @@
         private final Path log;
         Process process;
 
-        Entry(String name, String region, String zone, String zones, double grace) throws IOException {
+        Entry(String name, String region, String zone, String zones, double grace, String storeAddress)
+                throws IOException {
             this.name = name;
             front = "127.0.0.1:" + freePort();
             ready = "127.0.0.1:" + freePort();
@@ -54,7 +57,7 @@
                                 "metrics": "127.0.0.1:%d"},
                      "store": "%s", "stopSeconds": %s, "repeats": {"perRequest": 0.2, "slack": 62}}
                     """.formatted(
-                            name, region, zone, zones, front, ready, freePort(), peer, freePort(), store.address(),
+                            name, region, zone, zones, front, ready, freePort(), peer, freePort(), storeAddress,
                             grace));
         }
 
@@ -85,7 +88,7 @@
         }
 
         boolean isReady() {
-            return Client.call(ready, "GET", "/cowsliplatch/ready", "ready", 1_000).status() == 200;
+            return Client.call(ready, "GET", Wire.READY, "ready", 1_000).status() == 200;
         }
 
         List<String> log() throws IOException {
@@ -97,7 +100,7 @@
     final Path dir;
     final Store store;
     final List<Server> servers = new ArrayList<>();
-    final List<Entry> entries = new ArrayList<>();
+    final List<Entry> entries = new CopyOnWriteArrayList<>();
     private final PrintWriter record;
     private final long startNanos = System.nanoTime();
 
@@ -106,6 +109,15 @@
         dir = Files.createTempDirectory("review-2-");
         record = new PrintWriter(Files.newBufferedWriter(caseDir.resolve("record.txt")));
         store = new Store();
+        Runtime.getRuntime().addShutdownHook(new Thread(this::killEntries));
+    }
+
+    private void killEntries() {
+        for (Entry entry : entries) {
+            if (entry.process != null) {
+                entry.process.destroyForcibly();
+            }
+        }
     }
 
     /** Runs a case in its folder, the first argument; ends the process with the result. */
@@ -153,7 +165,12 @@
     }
 
     Entry entry(String name, String region, String zone, String zones, double grace) throws IOException {
-        Entry entry = new Entry(name, region, zone, zones, grace);
+        return entry(name, region, zone, zones, grace, store.address());
+    }
+
+    Entry entry(String name, String region, String zone, String zones, double grace, String storeAddress)
+            throws IOException {
+        Entry entry = new Entry(name, region, zone, zones, grace, storeAddress);
         entries.add(entry);
         return entry;
     }
@@ -187,10 +204,17 @@
         throw new IOException("no " + key + " in the deploy file");
     }
 
+    /** Returns a port below those that the system gives to outgoing connections, which could take it meanwhile. */
     static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
+        for (int i = 0; i < 100; i++) {
+            int port = ThreadLocalRandom.current().nextInt(15_000, 30_000);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+                return socket.getLocalPort();
+            } catch (BindException e) {
+                // In use: try another one.
+            }
         }
+        throw new IOException("no free port found");
     }
 
     static Thread daemon(String name, Runnable task) {
@@ -201,19 +225,14 @@
     }
 
     static String route(String name, String prefix, String kind, String service, double timeout, int attempts) {
-        return ("{\"Name\":\"%s\",\"Host\":\"a.example\",\"PathPrefix\":\"%s\",\"Kind\":\"%s\",\"TimeoutS\":%s,"
-                        + "\"TargetLatencyS\":%s,\"Priority\":0,\"Service\":\"%s\",\"MaxAttempts\":%d,\"Sticky\":false,"
-                        + "\"HomeRegions\":[]}")
-                .formatted(name, prefix, kind, timeout, timeout, service, attempts);
-    }
-
-    static String config(int version, List<String> routes, Map<String, String> services) {
-        List<String> texts = new ArrayList<>();
-        services.forEach((name, more) ->
-                texts.add("{\"Name\":\"" + name + "\",\"HealthPath\":\"/health\",\"MaxConnections\":390" + more + "}"));
-        return "{\"Version\":\"r" + version + "\",\"Routes\":[" + String.join(",", routes) + "],\"Services\":["
-                + String.join(",", texts) + "],\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":67108864,"
-                + "\"HeaderTimeoutS\":3,\"IdleTimeoutS\":15}}";
+        return Wire.format("row.route", name, prefix, kind, timeout, timeout, service, attempts);
+    }
+
+    static String config(int version, List<String> routes, List<String> services) {
+        List<String> texts = services.stream()
+                .map(service -> Wire.format("row.service", service))
+                .toList();
+        return Wire.format("row.config", version, String.join(",", routes), String.join(",", texts));
     }
 
     @Override
--- a/review/standin-2/RestoredEvacuationCase.java
+++ b/review/standin-2/RestoredEvacuationCase.java
@@ -65,7 +65,7 @@
 
     private static String config(int version) {
         return Lab.config(
-                version, List.of(Lab.route("r", "/book/", "unsafe", "booking", 3, 2)), Map.of("booking", ""));
+                version, List.of(Lab.route("r", "/book/", "unsafe", "booking", 3, 2)), List.of("booking"));
     }
 
     private static long put(Lab lab, String key, String value) {
--- a/review/standin-2/Server.java
+++ b/review/standin-2/Server.java
@@ -52,9 +52,7 @@
     }
 
     String row(String state, int sequence) {
-        return ("{\"Address\":\"%s\",\"born\":%d,\"Info\":{\"Service\":\"%s\",\"Version\":\"v1\",\"Zone\":\"%s\","
-                        + "\"Slots\":%d},\"Status\":{\"State\":\"%s\",\"Sequence\":%d,\"ColdRemainingS\":0}}")
-                .formatted(address(), born, service, zone, slots, state, sequence);
+        return Wire.format("row.server", address(), born, service, zone, slots, state, sequence);
     }
 
     private void accept(ServerSocket bound) {
@@ -87,15 +85,15 @@
 
     /** Handles one request, whose body was not read yet. */
     void handle(Http.Head head, InputStream in, Socket socket) throws IOException, InterruptedException {
-        String request = head.header("X-Cowsliplatch-Request-Id");
+        String request = head.header(Wire.REQUEST);
         arrivals.incrementAndGet();
         Http.readBody(in, head);
         OutputStream out = socket.getOutputStream();
-        if (!head.header("X-Cowsliplatch-Target-Instance").equals(id)) {
-            write(out, "421 Misdirected Request", "X-Cowsliplatch-Instance-Id: " + id + "\r\n", "");
+        if (!head.header(Wire.TARGET).equals(id)) {
+            write(out, "421 Misdirected Request", Wire.INSTANCE + ": " + id + "\r\n", "");
             return;
         }
-        long timeLeft = Long.parseLong(head.header("X-Cowsliplatch-Deadline-Ms"));
+        long timeLeft = Long.parseLong(head.header(Wire.DEADLINE));
         if (waiting.incrementAndGet() > QUEUE || !free.tryAcquire(timeLeft, TimeUnit.MILLISECONDS)) {
             waiting.decrementAndGet();
             shed.incrementAndGet();
@@ -103,7 +101,7 @@
             write(
                     out,
                     "503 Service Unavailable",
-                    "X-Cowsliplatch-Not-Executed: 1\r\nX-Cowsliplatch-Request-Id: " + request + "\r\n",
+                    Wire.NOT_EXECUTED + ": 1\r\n" + Wire.REQUEST + ": " + request + "\r\n",
                     "");
             return;
         }
@@ -139,7 +137,7 @@
     }
 
     static String success(String request) {
-        return "X-Cowsliplatch-Request-Id: " + request + "\r\nX-Cowsliplatch-Response-Signature: s." + request + "\r\n";
+        return Wire.REQUEST + ": " + request + "\r\n" + Wire.SIGNATURE + ": s." + request + "\r\n";
     }
 
     static void write(OutputStream out, String status, String headers, String body) throws IOException {
--- a/review/standin-2/Store.java
+++ b/review/standin-2/Store.java
@@ -16,6 +16,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.BooleanSupplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -41,7 +42,14 @@
 
     Store() throws IOException {
         server = new ServerSocket(0, 200, InetAddress.getByName("127.0.0.1"));
-        Lab.daemon("store", this::accept);
+        Lab.daemon("store", () -> accept(server, () -> false));
+    }
+
+    /** Opens a second address, whose clients are turned away with 503 while a condition holds. */
+    String open(BooleanSupplier turnsAway) throws IOException {
+        ServerSocket gate = new ServerSocket(0, 200, InetAddress.getByName("127.0.0.1"));
+        Lab.daemon("store-gate", () -> accept(gate, turnsAway));
+        return "127.0.0.1:" + gate.getLocalPort();
     }
 
     String address() {
@@ -98,24 +106,24 @@
         return version;
     }
 
-    private void accept() {
+    private void accept(ServerSocket listener, BooleanSupplier turnsAway) {
         while (!closed) {
             try {
-                Socket socket = server.accept();
+                Socket socket = listener.accept();
                 open.add(socket);
                 if (away) {
                     open.remove(socket);
                     socket.close();
                     continue;
                 }
-                Lab.daemon("store-connection", () -> serve(socket));
+                Lab.daemon("store-connection", () -> serve(socket, turnsAway));
             } catch (IOException e) {
                 return;
             }
         }
     }
 
-    private void serve(Socket socket) {
+    private void serve(Socket socket, BooleanSupplier turnsAway) {
         try (socket) {
             socket.setTcpNoDelay(true);
             InputStream in = Http.buffered(socket.getInputStream());
@@ -125,7 +133,9 @@
                     return;
                 }
                 String body = new String(Http.readBody(in, head), StandardCharsets.UTF_8);
-                Answer answered = answer(head, body);
+                Answer answered = turnsAway.getAsBoolean()
+                        ? new Answer("503 Service Unavailable", "{}", era)
+                        : answer(head, body);
                 byte[] answer = answered.body().getBytes(StandardCharsets.UTF_8);
                 if (away) {
                     return;
@@ -163,24 +173,25 @@
                         URLDecoder.decode(pair.substring(equals + 1), StandardCharsets.UTF_8));
             }
         }
-        return switch (path) {
-            case "/cowsliplatch/rows-get" -> ok(get(parameters));
-            case "/cowsliplatch/rows-feed" -> feed(parameters);
-            case "/cowsliplatch/rows-tx" -> ok(transact(body));
-            default -> ok("{}");
-        };
+        if (path.equals(Wire.GET)) {
+            return ok(get(parameters));
+        }
+        if (path.equals(Wire.FEED)) {
+            return feed(parameters);
+        }
+        return ok(path.equals(Wire.WRITE) ? transact(body) : "{}");
     }
 
     private synchronized String get(Map<String, String> parameters) {
         String from = parameters.getOrDefault("From", "");
         List<Row> rows = new ArrayList<>(
                 tables.getOrDefault(parameters.get("Table"), new TreeMap<>()).tailMap(from).values());
-        return "{\"Rows\":" + json(rows) + ",\"HasMore\":false,\"Ver\":" + version + ",\"NowS\":" + now() + "}";
+        return Wire.format("answer.rows", json(rows), version, now());
     }
 
     private synchronized Answer feed(Map<String, String> parameters) throws InterruptedException {
         long after = Long.parseLong(parameters.get("after"));
-        long end = System.nanoTime() + Long.parseLong(parameters.getOrDefault("WaitMs", "0")) * 1_000_000;
+        long end = System.nanoTime() + Long.parseLong(parameters.getOrDefault(Wire.WAIT, "0")) * 1_000_000;
         if (after > version) {
             return new Answer("410 Gone", "{}", era);
         }
@@ -189,7 +200,7 @@
             wait(Math.max(1, (end - System.nanoTime()) / 1_000_000));
             changed = changes(parameters.get("Table"), after);
         }
-        return ok("{\"Rows\":" + json(changed) + ",\"Ver\":" + version + ",\"NowS\":" + now() + "}");
+        return ok(Wire.format("answer.rows", json(changed), version, now()));
     }
 
     private List<Row> changes(String table, long after) {
