Review: spread the requests of case 8 over both servers

Cause: both servers were in different zones, so one of them got everything and the claim about the other was not shown.

--- a/review/standin-2/CookieCase.java
+++ b/review/standin-2/CookieCase.java
@@ -43,7 +43,7 @@
         String zones = "{\"z1\":\"north\",\"z2\":\"north\"}";
         Lab.Entry entry = lab.entry("edge-z1-1", "north", "z1", zones, 6);
         for (int i = 0; i < 2; i++) {
-            lab.list(new SessionServer(lab, "i-" + i, i % 2 == 0 ? "z1" : "z2"));
+            lab.list(new SessionServer(lab, "i-" + i, "z1"));
         }
         lab.store.put("op", "config", Lab.config(
                 1, List.of(Lab.route("r", "/book/", "unsafe", "booking", 2, 2)), List.of("booking")));
